Serve a request from end to end through separate processes

What stands: entry hosts that read the configuration from the platform's key-value service and from their peers, a directory for callers, streamed completions, plain services, orders under idempotency keys, intents with plan and confirmation, and stand-ins for the platform, engines and services.

--- /dev/null
+++ b/jacinthfold/__init__.py
@@ -0,0 +1,1 @@
+"""Route inference requests across regions through many entry hosts."""
--- /dev/null
+++ b/jacinthfold/admission.py
@@ -0,0 +1,239 @@
+"""Admit requests to targets: a bounded queue, urgent ones first."""
+
+import threading
+from collections.abc import Callable, Sequence
+
+from jacinthfold.clock import Clock
+from jacinthfold.config import Settings
+from jacinthfold.routing import Candidate, Policy, Prompt
+from jacinthfold.targets import TargetTable, TargetView
+
+BULK_PRIORITY = 2
+POLL_SECONDS = 0.05
+DRAIN_MEMORY = 0.1
+FIRST_DRAIN_SECONDS = 0.05
+LONGEST_DRAIN_SECONDS = 10
+
+
+class AdmissionError(Exception):
+    """Report a request that gets no target."""
+
+    def __init__(self, reason: str, retry_after_seconds: float) -> None:
+        """Tell why, and when it is worth coming back."""
+        super().__init__(reason)
+        self.reason = reason
+        self.retry_after_seconds = retry_after_seconds
+
+
+class NoTargetError(AdmissionError):
+    """Report that no target serves what is asked for."""
+
+
+class ShedError(AdmissionError):
+    """Report a request given up because of load."""
+
+
+class AbandonedError(AdmissionError):
+    """Report that the caller has gone."""
+
+
+class Ticket:
+    """Describe a request that wants a target."""
+
+    __slots__ = (
+        'deadline',
+        'excluded',
+        'is_abandoned',
+        'is_evicted',
+        'priority',
+        'prompt',
+        'sequence',
+        'service',
+        'woken',
+    )
+
+    def __init__(
+        self,
+        service: str,
+        priority: int,
+        deadline: float,
+        prompt: Prompt,
+        is_abandoned: Callable[[], bool],
+    ) -> None:
+        """Take the service, a small number for urgent, and the deadline."""
+        self.service = service
+        self.priority = priority
+        self.deadline = deadline
+        self.prompt = prompt
+        self.is_abandoned = is_abandoned
+        self.is_evicted = False
+        self.sequence = 0
+        self.excluded: set[str] = set()
+        self.woken = threading.Event()
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Return the place in the queue: urgent first, then by arrival."""
+        return self.priority, self.sequence
+
+
+class Admission:
+    """Give each request a target now, later, or a refusal at once."""
+
+    def __init__(
+        self,
+        targets: TargetTable,
+        policy: Policy,
+        settings: Settings,
+        clock: Clock,
+    ) -> None:
+        """Take the targets and the policy that chooses among them."""
+        self._targets = targets
+        self._policy = policy
+        self._queue_length = settings.callers.queue_length
+        self._bulk_share = settings.routing.bulk_slot_share
+        self._clock = clock
+        self._guard = threading.RLock()
+        self._waiting: list[Ticket] = []
+        self._sequence = 0
+        self._drain_seconds: dict[str, float] = {}
+        self._last_drain: dict[str, float] = {}
+        self.shed_counts: dict[int, int] = {}
+
+    @property
+    def waiting_count(self) -> int:
+        """Return the length of the queue."""
+        return len(self._waiting)
+
+    def acquire(self, ticket: Ticket) -> TargetView:
+        """Return a reserved target; raise AdmissionError."""
+        with self._guard:
+            if self._is_ahead_of_all(ticket):
+                view = self._try_reserve(ticket)
+                if view:
+                    return view
+            self._enqueue(ticket)
+        try:
+            return self._wait(ticket)
+        finally:
+            with self._guard:
+                if ticket in self._waiting:
+                    self._waiting.remove(ticket)
+            self.wake()
+
+    def release(self, view: TargetView, service: str) -> None:
+        """Give a target's place back."""
+        now = self._clock.monotonic()
+        with self._guard:
+            last = self._last_drain.get(service, now)
+            gap = min(now - last, LONGEST_DRAIN_SECONDS)
+            old = self._drain_seconds.get(service, FIRST_DRAIN_SECONDS)
+            self._drain_seconds[service] = old + (gap - old) * DRAIN_MEMORY
+            self._last_drain[service] = now
+        self._targets.release(view)
+
+    def wake(self) -> None:
+        """Let the first of each service look for room."""
+        with self._guard:
+            seen = set()
+            for ticket in self._waiting:
+                if ticket.service not in seen:
+                    seen.add(ticket.service)
+                    ticket.woken.set()
+
+    def expected_wait_seconds(self, service: str, priority: int) -> float:
+        """Return how long a request would wait in the queue here."""
+        with self._guard:
+            ahead = sum(
+                ticket.service == service and ticket.priority <= priority
+                for ticket in self._waiting
+            )
+            has_room = any(
+                one.has_room for one in self._targets.candidates(service)
+            )
+        if has_room and not ahead:
+            return 0
+        drain_seconds = self._drain_seconds.get(service, FIRST_DRAIN_SECONDS)
+        return (ahead + 1) * drain_seconds
+
+    def _is_ahead_of_all(self, ticket: Ticket) -> bool:
+        return not any(
+            other.service == ticket.service
+            and other.priority <= ticket.priority
+            for other in self._waiting
+        )
+
+    def _try_reserve(self, ticket: Ticket) -> TargetView | None:
+        candidates = self._targets.candidates(ticket.service)
+        if not candidates:
+            raise NoTargetError(f'no target serves {ticket.service} here', 2)
+        # A target that has just failed this request is tried last.
+        others = [one for one in candidates if one.name not in ticket.excluded]
+        chosen = self._policy.choose(
+            self._limit(others or candidates, ticket), ticket.prompt
+        )
+        if chosen is None or not chosen.has_room:
+            return None
+        view = self._targets.find(chosen.name)
+        if view is None or not view.takes_work:
+            return None
+        self._targets.reserve(chosen.name)
+        return view
+
+    def _limit(
+        self, candidates: Sequence[Candidate], ticket: Ticket
+    ) -> Sequence[Candidate]:
+        # Bulk requests that fill every slot make a counter call wait for a
+        # whole report to end. The last share of the slots stays free of them.
+        if ticket.priority >= BULK_PRIORITY:
+            for one in candidates:
+                one.capacity *= self._bulk_share
+        return candidates
+
+    def _enqueue(self, ticket: Ticket) -> None:
+        remaining = ticket.deadline - self._clock.monotonic()
+        expected = self.expected_wait_seconds(ticket.service, ticket.priority)
+        if expected > remaining:
+            self._shed(ticket, 'the queue is longer than the deadline')
+        if len(self._waiting) >= self._queue_length:
+            worst = max(
+                self._waiting, key=lambda other: other.order, default=ticket
+            )
+            if worst.priority <= ticket.priority:
+                self._shed(ticket, 'the queue is full')
+            worst.is_evicted = True
+            self._waiting.remove(worst)
+            worst.woken.set()
+        self._sequence += 1
+        ticket.sequence = self._sequence
+        self._waiting.append(ticket)
+        self._waiting.sort(key=lambda other: other.order)
+
+    def _wait(self, ticket: Ticket) -> TargetView:
+        while True:
+            ticket.woken.wait(POLL_SECONDS)
+            ticket.woken.clear()
+            if ticket.is_evicted:
+                self._shed(ticket, 'more urgent requests took the queue')
+            if self._clock.monotonic() >= ticket.deadline:
+                self._shed(ticket, 'the deadline passed in the queue')
+            if ticket.is_abandoned():
+                raise AbandonedError('the caller has gone', 0)
+            with self._guard:
+                view = self._try_in_turn(ticket)
+            if view:
+                return view
+
+    def _try_in_turn(self, ticket: Ticket) -> TargetView | None:
+        for other in self._waiting:
+            if other is ticket:
+                return self._try_reserve(ticket)
+            if other.service == ticket.service:
+                return None
+        return None
+
+    def _shed(self, ticket: Ticket, reason: str) -> None:
+        count = self.shed_counts.get(ticket.priority, 0)
+        self.shed_counts[ticket.priority] = count + 1
+        expected = self.expected_wait_seconds(ticket.service, ticket.priority)
+        raise ShedError(reason, max(1, expected))
--- /dev/null
+++ b/jacinthfold/logs.py
@@ -0,0 +1,58 @@
+"""Write one line of key=value pairs for each event."""
+
+import json
+import sys
+from typing import TYPE_CHECKING, Any
+
+from loguru import logger
+
+if TYPE_CHECKING:
+    from loguru import Record
+
+PLAIN = frozenset('-_.:/,@')
+
+
+def set_up(level: str, host_name: str) -> None:
+    """Log to standard error from a level upwards."""
+    logger.remove()
+    logger.configure(extra={'host': host_name})
+    logger.add(sys.stderr, level=level, format=_format, enqueue=False)
+
+
+def event(name: str, **fields: Any) -> None:
+    """Log something that happened."""
+    logger.bind(**fields).info(name)
+
+
+def warning(name: str, **fields: Any) -> None:
+    """Log something that an operator may want to look at."""
+    logger.bind(**fields).warning(name)
+
+
+def error(name: str, **fields: Any) -> None:
+    """Log something that needs an operator."""
+    logger.bind(**fields).error(name)
+
+
+def _format(record: 'Record') -> str:
+    pairs = [
+        f'time={record["time"].isoformat()}',
+        f'level={record["level"].name.lower()}',
+        f'event={record["message"]}',
+    ]
+    pairs.extend(
+        f'{name}={_shown(value)}' for name, value in record['extra'].items()
+    )
+    line = ' '.join(pairs)
+    # loguru formats what we return once more: braces must be doubled.
+    escaped = line.replace('{', '{{').replace('}', '}}').replace('<', r'\<')
+    return f'{escaped}\n'
+
+
+def _shown(value: Any) -> str:
+    if isinstance(value, float):
+        return f'{value:.6g}'
+    text = str(value)
+    if text and all(char.isalnum() or char in PLAIN for char in text):
+        return text
+    return json.dumps(text, ensure_ascii=False)
--- /dev/null
+++ b/jacinthfold/node.py
@@ -0,0 +1,474 @@
+"""Run an entry host: put its parts together, start and stop them."""
+
+import os
+import random
+import signal
+import threading
+import time
+from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor
+from typing import Any
+
+from jacinthfold import config, logs
+from jacinthfold.admission import Admission
+from jacinthfold.client import HttpClient
+from jacinthfold.clock import Clock
+from jacinthfold.config import Settings
+from jacinthfold.configuration import Configuration
+from jacinthfold.directory import Directory
+from jacinthfold.engines import HttpTargetClient
+from jacinthfold.front import CallerApp, Frame
+from jacinthfold.keys import Claims, KeyIssuer, KeyTable
+from jacinthfold.limits import Limiter
+from jacinthfold.members import Member, MemberState, MemberTable
+from jacinthfold.metrics import Metrics
+from jacinthfold.once import OnceServer
+from jacinthfold.operators import ControlApp
+from jacinthfold.orders import OrderKeeper, OrderLease
+from jacinthfold.peers import Knowledge, PeerLoop, Peers
+from jacinthfold.polling import HostListReader, Poller
+from jacinthfold.relay import Relay
+from jacinthfold.relayed import RelayedApp
+from jacinthfold.revisions import Revisions
+from jacinthfold.routing import make_policy
+from jacinthfold.server import Listener, ListenerSettings
+from jacinthfold.serving import Server
+from jacinthfold.spill import Spill
+from jacinthfold.spread import StoreWatcher
+from jacinthfold.store import HttpStore
+from jacinthfold.targets import TargetTable
+from jacinthfold.version import VERSION
+from jacinthfold.work import InFlight
+
+BEAT_SECONDS = 0.25
+PAUSE_LIMIT_SECONDS = 2
+SPARE_THREADS = 32
+CONTROL_THREADS = 8
+START_PAUSE_SECONDS = 0.3
+CLOSE_GRACE_SECONDS = 0.5
+DRAIN_POLL_SECONDS = 0.05
+
+
+class Node:
+    """Hold every part of one entry host."""
+
+    def __init__(self, settings: Settings, clock: Clock) -> None:
+        """Put the parts together; nothing runs yet."""
+        self._settings = settings
+        self._clock = clock
+        self._started_at = clock.monotonic()
+        self._last_beat_at = 0.0
+        self._is_joined = False
+        self._stopped = threading.Event()
+        self._stop_asked = threading.Event()
+        self._pool = ThreadPoolExecutor(8, 'duty')
+        self._duties: list[Future[None]] = []
+        self.metrics = Metrics()
+        self.members = MemberTable(_own_member(settings), settings, clock)
+        self.configuration = Configuration(clock)
+        self.targets = TargetTable(settings.host.region, settings, clock)
+        self._build_control()
+        self._build_serving()
+        self._wire()
+
+    def run(self) -> bool:
+        """Serve until asked to stop; tell whether nothing was cut off."""
+        self.start()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._ask_to_stop)
+        self._stop_asked.wait()
+        return self.stop()
+
+    def start(self) -> None:
+        """Listen, join the other hosts and begin all duties."""
+        self.peers.start()
+        for listener in (self._control, self._relayed, self._callers):
+            listener.start()
+        self._begin(self._join)
+        self._begin(self._beat)
+        self._begin(self._poller.run)
+        self._begin(self._watcher.run)
+        self._begin(self._order_keeper.run)
+        self._begin(self._read_host_list)
+        logs.event(
+            'host_started',
+            region=self.members.own.region,
+            data_centre=self.members.own.data_centre,
+            caller_url=self.members.own.caller_url,
+        )
+
+    def stop(self) -> bool:
+        """Leave, finish what is in flight, close; tell whether all ended."""
+        host = self._settings.host
+        logs.event('host_leaving', in_flight=len(self.in_flight))
+        self._advance(MemberState.LEAVING)
+        self.peers.hurry()
+        # Callers hold a directory answer that still names this host; it
+        # serves them until the news has reached the other hosts.
+        time.sleep(host.leave_notice_seconds)
+        self.in_flight.is_stopping = True
+        ended = self._drain(host.stop_timeout_seconds)
+        time.sleep(CLOSE_GRACE_SECONDS)
+        self._stopped.set()
+        self.peers.stop()
+        for listener in (self._callers, self._relayed, self._control):
+            listener.stop()
+        self._pool.shutdown(wait=False, cancel_futures=True)
+        logs.event('host_stopped', cut_off=len(self.in_flight))
+        self._raise_failures()
+        return ended
+
+    def is_ready(self) -> bool:
+        """Tell whether callers may be served."""
+        # After a pause (a stopped process, a suspended machine) what this
+        # host believes may be long past. It serves again after a beat and
+        # an exchange with its peers.
+        paused_seconds = self._clock.monotonic() - self._last_beat_at
+        return self._is_joined and paused_seconds < PAUSE_LIMIT_SECONDS
+
+    def status(self) -> dict[str, Any]:
+        """Return a short summary."""
+        own = self.members.own
+        live = [member.name for member, _ in self.members.live()]
+        return {
+            'name': own.name,
+            'version': VERSION,
+            'region': own.region,
+            'data_centre': own.data_centre,
+            'state': self.members.state.name.lower(),
+            'ready': self.is_ready(),
+            'revision': self.configuration.revision,
+            'revision_age_seconds': round(
+                self._clock.monotonic() - self.configuration.applied_at, 3
+            ),
+            'store_reachable': self._watcher.is_store_reachable,
+            'requests_in_flight': len(self.in_flight),
+            'requests_waiting': self.admission.waiting_count,
+            'members': sorted(live),
+            'targets': [_target_summary(view) for view in self.targets.views()],
+        }
+
+    def dump(self) -> dict[str, Any]:
+        """Return the whole state."""
+        now = self._clock.monotonic()
+        return {
+            **self.status(),
+            'process_id': os.getpid(),
+            'uptime_seconds': round(now - self._started_at, 3),
+            'settings': config.to_document(self._settings),
+            'member_records': [
+                {
+                    'name': member.name,
+                    'incarnation': f'{member.incarnation:x}',
+                    'data_centre': member.data_centre,
+                    'state': beat.state.name.lower(),
+                    'sequence': beat.sequence,
+                    'revision': beat.revision,
+                    'free_slots': beat.free_slots,
+                }
+                for member, beat in self.members.live()
+            ],
+            'watches_store': self.members.is_watcher(),
+            'polls': [target.name for target in self._poller.assigned()],
+            'order_lease': {
+                'held': self._order_lease.is_held,
+                'fencing_number': self._order_lease.fencing_number,
+                'orders_given': self._order_keeper.order_count,
+            },
+            'limits': {'organisations': len(self._limiter)},
+            'keys': {'remembered': len(self._key_table)},
+            'retries': {
+                'spent': self._server.retries.spent_count,
+                'refused': self._server.retries.refused_count,
+            },
+            'shed': self.admission.shed_counts,
+            'peer_messages': {
+                'sent': self.peers.sent_count,
+                'received': self.peers.received_count,
+                'failed': self.peers.failed_count,
+            },
+            'requests': [
+                {
+                    'request_id': work.request_id,
+                    'organisation': work.organisation.name,
+                    'service': work.service,
+                    'stage': work.stage,
+                    'age_seconds': round(now - work.started_at, 3),
+                }
+                for work in self.in_flight.works()
+            ],
+        }
+
+    def _ask_to_stop(self, *_: object) -> None:
+        self._stop_asked.set()
+
+    def _build_control(self) -> None:
+        settings = self._settings
+        platform = settings.platform
+        http_client = HttpClient()
+        self._store = HttpStore(
+            platform.store_url,
+            http_client,
+            timeout_seconds=platform.store_timeout_seconds,
+        )
+        self.revisions = Revisions(self._store, self.configuration, self._clock)
+        self._watcher = StoreWatcher(
+            self.revisions, self.configuration, self.members, settings
+        )
+        target_client = HttpTargetClient(
+            http_client,
+            order_key=settings.targets.order_key,
+            timeout_seconds=settings.targets.connect_timeout_seconds,
+        )
+        self._poller = Poller(
+            self.targets, self.members, target_client, settings, self._clock
+        )
+        self._host_list = HostListReader(self.targets, settings, http_client)
+        self._order_lease = OrderLease(
+            self._store,
+            settings.host.name,
+            settings.host.data_centre,
+            settings,
+            self._clock,
+        )
+        self._order_keeper = OrderKeeper(
+            self._order_lease,
+            self.configuration,
+            self.targets,
+            self.members,
+            target_client,
+            settings,
+        )
+        knowledge = Knowledge(self.members, self.configuration, self.targets)
+        self._peer_loop = PeerLoop()
+        self.peers = Peers(knowledge, settings, self._peer_loop)
+
+    def _build_serving(self) -> None:
+        settings = self._settings
+        clock = self._clock
+        source = random.Random()
+        self.in_flight = InFlight(settings.callers.max_requests)
+        self.admission = Admission(
+            self.targets, make_policy(settings, source), settings, clock
+        )
+        self._limiter = Limiter(self.members, settings, clock)
+        relay = Relay()
+        spill = Spill(self.members, self.configuration, settings, source)
+        self._server = Server(
+            self.targets,
+            self.admission,
+            spill,
+            relay,
+            settings,
+            clock,
+            self.metrics,
+        )
+        incarnation = self.members.own.incarnation
+        self._key_table = KeyTable(settings, clock)
+        self._once = OnceServer(
+            KeyIssuer(incarnation, settings, clock),
+            self._key_table,
+            Claims(self._store, incarnation, settings, clock),
+            self._server,
+            relay,
+            spill,
+            self.members,
+            clock,
+        )
+
+    def _wire(self) -> None:
+        settings = self._settings
+        frame = Frame(self.metrics)
+        caller_app = CallerApp(
+            frame,
+            self.configuration,
+            Directory(self.members, settings),
+            self._limiter,
+            self._server,
+            self._once,
+            self.in_flight,
+            settings,
+        )
+        caller_app.clock = self._clock
+        caller_app.is_ready = self.is_ready
+        relayed_app = RelayedApp(
+            frame,
+            self.configuration,
+            self._server,
+            self._once,
+            self.in_flight,
+            self.members,
+            settings,
+            self._clock,
+        )
+        relayed_app.is_ready = self.is_ready
+        control_app = ControlApp(
+            self.revisions,
+            self.configuration,
+            self,
+            self.metrics,
+            settings,
+            self._clock,
+            self.is_ready,
+        )
+        host = settings.host
+        threads = settings.callers.max_requests + SPARE_THREADS
+        self._callers = self._listen(host.caller_port, caller_app, threads)
+        self._relayed = self._listen(host.relay_port, relayed_app, threads)
+        self._control = self._listen(
+            host.control_port, control_app, CONTROL_THREADS
+        )
+        self.configuration.subscribe(self._on_revision)
+        self.targets.on_urgent = self.peers.hurry
+        self.targets.on_room = self.admission.wake
+        self._watch_gauges()
+
+    def _listen(
+        self, port: int, application: Any, thread_count: int
+    ) -> Listener:
+        callers = self._settings.callers
+        return Listener(
+            ListenerSettings(
+                self._settings.host.address,
+                port,
+                thread_count=thread_count,
+                head_timeout_seconds=callers.head_timeout_seconds,
+                body_timeout_seconds=callers.body_timeout_seconds,
+                write_timeout_seconds=callers.write_timeout_seconds,
+            ),
+            application,
+        )
+
+    def _watch_gauges(self) -> None:
+        watch = self.metrics.watch
+        watch(
+            'requests_in_flight',
+            'Requests being served',
+            lambda: len(self.in_flight),
+        )
+        watch(
+            'requests_waiting',
+            'Requests in the queue',
+            lambda: self.admission.waiting_count,
+        )
+        watch(
+            'configuration_revision',
+            'Revision in force',
+            lambda: self.configuration.revision,
+        )
+        watch(
+            'members_live',
+            'Live entry hosts known',
+            lambda: len(self.members.live()),
+        )
+
+    def _on_revision(self) -> None:
+        deployment = self.configuration.deployment
+        self.targets.follow(deployment)
+        self.peers.hurry()
+        logs.event('configuration_applied', revision=deployment.revision)
+
+    def _begin(self, duty: Callable[[threading.Event], None]) -> None:
+        self._duties.append(self._pool.submit(self._guarded, duty))
+
+    def _guarded(self, duty: Callable[[threading.Event], None]) -> None:
+        try:
+            duty(self._stopped)
+        except Exception as error:
+            # A duty that ends unseen leaves a host that looks well and
+            # follows nothing. Better to stop and be replaced.
+            logs.error('duty_failed', duty=duty.__name__, reason=repr(error))
+            self._stop_asked.set()
+            raise
+
+    def _join(self, stopped: threading.Event) -> None:
+        """Become ready once the newest reachable configuration is in force."""
+        while not stopped.is_set():
+            self._host_list.read()
+            self.peers.extra_seeds = self._host_list.entry_hosts
+            answered = self.peers.meet()
+            # Members that the first answers named are asked as well: one of
+            # them may hold a revision that the seeds have not seen.
+            answered += self.peers.meet()
+            store_answered = self._watcher.read_once()
+            if answered or store_answered:
+                break
+            logs.warning('no_configuration_yet')
+            stopped.wait(START_PAUSE_SECONDS)
+        self._last_beat_at = self._clock.monotonic()
+        self._is_joined = True
+        self.peers.run()
+        logs.event('host_ready', revision=self.configuration.revision)
+
+    def _beat(self, stopped: threading.Event) -> None:
+        while not stopped.wait(BEAT_SECONDS):
+            now = self._clock.monotonic()
+            if self._is_joined and (
+                now - self._last_beat_at > PAUSE_LIMIT_SECONDS
+            ):
+                logs.warning('pause_noticed', seconds=now - self._last_beat_at)
+                self.peers.meet()
+            self._last_beat_at = self._clock.monotonic()
+            state = (
+                MemberState.ACTIVE if self._is_joined else MemberState.STARTING
+            )
+            self._advance(state)
+
+    def _advance(self, state: MemberState) -> None:
+        self.members.beat(
+            state, self.configuration.revision, self.targets.free_slots()
+        )
+
+    def _read_host_list(self, stopped: threading.Event) -> None:
+        while not stopped.wait(self._settings.platform.host_list_seconds):
+            self._host_list.read()
+            self.peers.extra_seeds = self._host_list.entry_hosts
+
+    def _drain(self, timeout_seconds: float) -> bool:
+        deadline = self._clock.monotonic() + timeout_seconds
+        while self.in_flight.works():
+            if self._clock.monotonic() > deadline:
+                for work in self.in_flight.works():
+                    logs.error('request_cut_off', request_id=work.request_id)
+                return False
+            time.sleep(DRAIN_POLL_SECONDS)
+        return True
+
+    def _raise_failures(self) -> None:
+        failures = [
+            error
+            for duty in self._duties
+            if duty.done()
+            and not duty.cancelled()
+            and isinstance(error := duty.exception(), Exception)
+        ]
+        if failures:
+            raise ExceptionGroup('duties failed', failures)
+
+
+def _own_member(settings: Settings) -> Member:
+    host = settings.host
+    # Wall-clock nanoseconds: a later start has the larger number, and no
+    # two processes under one name share it.
+    return Member(
+        host.name,
+        time.time_ns(),
+        (host.region, host.data_centre),
+        host.address,
+        (host.caller_port, host.control_port, host.peer_port, host.relay_port),
+    )
+
+
+def _target_summary(view: Any) -> dict[str, Any]:
+    return {
+        'name': view.target.name,
+        'serves': list(view.target.serves),
+        'configured': view.target.state.value,
+        'found': view.report.state.name.lower(),
+        'listed_leaving': view.is_listed_leaving,
+        'load': view.load,
+        'slots': view.slots,
+        'own_in_flight': view.in_flight,
+        'first_token_seconds': round(view.first_token_seconds, 4),
+        'failures_in_a_row': view.failure_count,
+    }
--- /dev/null
+++ b/jacinthfold/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for what the gateway serves and relies on."""
--- /dev/null
+++ b/jacinthfold/targets.py
@@ -0,0 +1,328 @@
+"""Know the targets of the own region: state, load and health."""
+
+import threading
+from collections.abc import Callable, Iterable
+from enum import IntEnum
+
+from jacinthfold.clock import Clock
+from jacinthfold.config import Settings
+from jacinthfold.deployment import Deployment, Target, TargetState
+from jacinthfold.routing import Candidate
+
+MILLISECONDS = 1000
+REPORT_LIFETIME_SECONDS = 10
+LATENCY_MEMORY = 0.2
+LATENCY_HALF_LIFE_SECONDS = 10
+TYPICAL_FIRST_TOKEN_SECONDS = 0.2
+DEFAULT_SLOTS = 8
+FIRST_RAMP_SHARE = 0.25
+
+
+class ReportState(IntEnum):
+    """Say how a target was found."""
+
+    UNKNOWN = 0
+    ACTIVE = 1
+    LEAVING = 2
+    STOPPED = 3
+    UNREACHABLE = 4
+
+
+class TargetReport:
+    """Hold what one reading of a target showed."""
+
+    __slots__ = (
+        'models',
+        'name',
+        'resumes',
+        'running',
+        'slots',
+        'state',
+        'version',
+        'waiting',
+    )
+
+    def __init__(
+        self,
+        name: str,
+        version: int,
+        state: int,
+        *,
+        running: int = 0,
+        waiting: int = 0,
+        slots: int = 0,
+        models: tuple[str, ...] = (),
+        resumes: bool = False,
+    ) -> None:
+        """Take the reading; the version orders readings of one target."""
+        self.name = name
+        self.version = version
+        self.state = ReportState(state)
+        self.running = running
+        self.waiting = waiting
+        self.slots = slots
+        self.models = models
+        self.resumes = resumes
+
+
+class TargetView:
+    """Hold what this host believes about one target."""
+
+    __slots__ = (
+        'broken_until',
+        'failure_count',
+        'first_token_seconds',
+        'in_flight',
+        'in_flight_at_report',
+        'is_listed_leaving',
+        'latency_at',
+        'received_at',
+        'report',
+        'returned_at',
+        'target',
+    )
+
+    def __init__(self, target: Target, now: float) -> None:
+        """Start with no reading."""
+        self.target = target
+        self.report = TargetReport(target.name, 0, ReportState.UNKNOWN)
+        self.received_at = now
+        self.returned_at = now
+        self.in_flight = 0
+        self.in_flight_at_report = 0
+        self.failure_count = 0
+        self.broken_until = now
+        self.first_token_seconds = TYPICAL_FIRST_TOKEN_SECONDS
+        self.latency_at = now
+        self.is_listed_leaving = False
+
+    @property
+    def slots(self) -> int:
+        """Return how many requests the target serves at once."""
+        return self.report.slots or DEFAULT_SLOTS
+
+    @property
+    def load(self) -> int:
+        """Return the requests at the target, the own newest included."""
+        # Reports lag, and all hosts see the same idle target at once. What
+        # this host has sent since the report is known here and added.
+        reported = self.report.running + self.report.waiting
+        others = max(0, reported - self.in_flight_at_report)
+        return others + self.in_flight
+
+    @property
+    def takes_work(self) -> bool:
+        """Tell whether new requests may be sent."""
+        return (
+            self.target.state == TargetState.ACTIVE
+            and not self.is_listed_leaving
+            and self.report.state in {ReportState.ACTIVE, ReportState.UNKNOWN}
+        )
+
+
+class TargetTable:
+    """Keep a view of each target of the own region."""
+
+    def __init__(self, region: str, settings: Settings, clock: Clock) -> None:
+        """Start with no target."""
+        self._region = region
+        self._routing = settings.routing
+        self._clock = clock
+        self._guard = threading.RLock()
+        self._views: dict[str, TargetView] = {}
+        self._deployment = Deployment()
+        self.on_urgent: Callable[[], None] = _do_nothing
+        self.on_room: Callable[[], None] = _do_nothing
+
+    def follow(self, deployment: Deployment) -> None:
+        """Take the targets that are in force."""
+        now = self._clock.monotonic()
+        with self._guard:
+            self._deployment = deployment
+            wanted = {
+                name: target
+                for name, target in deployment.targets.items()
+                if target.region == self._region
+            }
+            for name in self._views.keys() - wanted.keys():
+                self._views.pop(name)
+            for name, target in wanted.items():
+                view = self._views.setdefault(name, TargetView(target, now))
+                if view.target.url != target.url:
+                    self._views[name] = TargetView(target, now)
+                view.target = target
+        self.on_room()
+
+    def views(self) -> list[TargetView]:
+        """Return all views."""
+        with self._guard:
+            return list(self._views.values())
+
+    def find(self, name: str) -> TargetView | None:
+        """Return a target's view."""
+        return self._views.get(name)
+
+    def reports_for(self, region: str) -> list[TargetReport]:
+        """Return the fresh reports that a peer in a region needs."""
+        if region != self._region:
+            return []
+        now = self._clock.monotonic()
+        return [
+            view.report
+            for view in self.views()
+            if view.report.version
+            and now - view.received_at < REPORT_LIFETIME_SECONDS
+        ]
+
+    def merge(self, reports: Iterable[TargetReport]) -> None:
+        """Take in reports; older ones change nothing."""
+        urgent = False
+        now = self._clock.monotonic()
+        with self._guard:
+            for report in reports:
+                view = self._views.get(report.name)
+                if view and self._is_news(view, report, now):
+                    urgent |= self._take(view, report, now)
+        self.on_room()
+        if urgent:
+            self.on_urgent()
+
+    def observe(self, name: str, state: ReportState) -> None:
+        """Note a state that a target's own answer has shown."""
+        view = self._views.get(name)
+        if view is None or view.report.state == state:
+            return
+        old = view.report
+        self.merge(
+            [
+                TargetReport(
+                    name,
+                    max(self.version(), old.version + 1),
+                    state,
+                    running=old.running,
+                    waiting=old.waiting,
+                    slots=old.slots,
+                    models=old.models,
+                    resumes=old.resumes,
+                )
+            ]
+        )
+
+    def version(self) -> int:
+        """Return a version for a reading made now."""
+        return int(self._clock.now().timestamp() * MILLISECONDS)
+
+    def list_leaving(self, names: set[str]) -> None:
+        """Note which targets the platform lists as leaving."""
+        for view in self.views():
+            view.is_listed_leaving = view.target.name in names
+
+    def serving(self, service: str) -> list[TargetView]:
+        """Return views of targets that may get new work of a service."""
+        return [
+            view
+            for view in self.views()
+            if service in view.target.serves
+            and view.takes_work
+            and _has_loaded(view, service)
+        ]
+
+    def candidates(self, service: str) -> list[Candidate]:
+        """Return what routing may choose from."""
+        now = self._clock.monotonic()
+        views = self.serving(service)
+        healthy = [view for view in views if view.broken_until <= now]
+        # When every target fails, taking all of them out would empty the
+        # region for a fault that may lie elsewhere: then all stay in.
+        return [self._candidate(view, now) for view in healthy or views]
+
+    def reserve(self, name: str) -> None:
+        """Count a request towards a target."""
+        with self._guard:
+            self._views[name].in_flight += 1
+
+    def release(self, view: TargetView) -> None:
+        """Count a request off a target, which may be gone from the table."""
+        with self._guard:
+            view.in_flight -= 1
+        self.on_room()
+
+    def note_first_token(self, view: TargetView, seconds: float) -> None:
+        """Learn from the time to a first token."""
+        now = self._clock.monotonic()
+        with self._guard:
+            view.failure_count = 0
+            current = self._latency(view, now)
+            view.first_token_seconds = (
+                current + (seconds - current) * LATENCY_MEMORY
+            )
+            view.latency_at = now
+
+    def note_failure(self, view: TargetView) -> None:
+        """Learn from a failure; several in a row take the target out."""
+        now = self._clock.monotonic()
+        with self._guard:
+            view.failure_count += 1
+            if view.failure_count >= self._routing.breaker_failures:
+                view.broken_until = now + self._routing.breaker_seconds
+                view.returned_at = view.broken_until
+
+    def free_slots(self) -> dict[str, int]:
+        """Return the free places of the region by service."""
+        free: dict[str, int] = {}
+        for view in self.views():
+            if not view.takes_work:
+                continue
+            for service in view.target.serves:
+                room = max(0, view.slots - view.load)
+                free[service] = free.get(service, 0) + room
+        return free
+
+    def _is_news(
+        self, view: TargetView, report: TargetReport, now: float
+    ) -> bool:
+        # Versions are wall-clock readings of different hosts. After a clock
+        # has jumped, a report that nobody renews must not block for ever.
+        is_expired = now - view.received_at > REPORT_LIFETIME_SECONDS
+        return report.version > view.report.version or is_expired
+
+    def _take(self, view: TargetView, report: TargetReport, now: float) -> bool:
+        old_state = view.report.state
+        if report.state == ReportState.ACTIVE and old_state != report.state:
+            view.returned_at = now
+            view.failure_count = 0
+            view.broken_until = now
+        view.report = report
+        view.received_at = now
+        view.in_flight_at_report = view.in_flight
+        return report.state != old_state
+
+    def _latency(self, view: TargetView, now: float) -> float:
+        # A target once slow gets no more work and so no new measurement.
+        # Its figure drifts back to the typical one until it is tried again.
+        age = now - view.latency_at
+        share = 0.5 ** (age / LATENCY_HALF_LIFE_SECONDS)
+        excess = view.first_token_seconds - TYPICAL_FIRST_TOKEN_SECONDS
+        return TYPICAL_FIRST_TOKEN_SECONDS + excess * share
+
+    def _candidate(self, view: TargetView, now: float) -> Candidate:
+        ramp = 1.0
+        if self._routing.ramp_seconds:
+            share = (now - view.returned_at) / self._routing.ramp_seconds
+            ramp = min(1.0, max(FIRST_RAMP_SHARE, share))
+        return Candidate(
+            view.target.name,
+            load=view.load,
+            slots=view.slots,
+            capacity=view.slots * self._routing.slot_overcommit * ramp,
+            first_token_seconds=self._latency(view, now),
+        )
+
+
+def _has_loaded(view: TargetView, service: str) -> bool:
+    models = view.report.models
+    return not models or service in models
+
+
+def _do_nothing() -> None:
+    """Stand for a listener that nobody has set."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the program, mostly as real processes."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what the demo, the tests and the bench share."""
