--- a/jacinthfold/serving.py
+++ b/jacinthfold/serving.py
@@ -66,8 +66,11 @@
         run = _Run(work, sink, is_gone)
         while True:
             work.stage = 'queued'
-            peer_result = self._try_elsewhere(run)
-            result = peer_result or self._try_here(run)
+            result = self._try_elsewhere(run)
+            # A peer that had no room after all has not run it. That is no
+            # retry: the request takes its place in the home queue.
+            if result is None or result.ending == Ending.NOT_RUN:
+                result = self._try_here(run)
             if result.ending == Ending.WHOLE:
                 return result
             self._check_retry(run, result)
