--- a/Makefile
+++ b/Makefile
@@ -3,13 +3,15 @@
 BIN := .venv/bin
 INSTALLED := .venv/installed
 
-.PHONY: help demo test lint format matrix bench slopes binary clean
+.PHONY: help demo test lint format matrix proofs bench relay slopes binary clean
 
 help:
 	@echo 'make demo    run the whole path on this machine (KEEP=1 stays)'
 	@echo 'make test    run the tests, the fault matrix included'
 	@echo 'make lint    check formatting, style and types'
 	@echo 'make matrix  run the fault matrix alone'
+	@echo 'make proofs  take safeguards out of a copy; their tests must fail'
+	@echo 'make relay   measure what the relay costs beside direct calls'
 	@echo 'make bench   measure decisions under load and faults'
 	@echo 'make slopes  measure what control costs, for docs/CAPACITY.md'
 	@echo 'make binary  build dist/jacinthfold, one file'
@@ -37,6 +39,12 @@
 matrix: $(INSTALLED)
 	$(BIN)/python -m pytest tests/test_matrix.py
 
+proofs: $(INSTALLED)
+	$(BIN)/python -m tools.ablate
+
+relay: $(INSTALLED)
+	$(BIN)/python -m bench.relay
+
 bench: $(INSTALLED)
 	$(BIN)/python -m bench.run
 
--- a/jacinthfold/answers.py
+++ b/jacinthfold/answers.py
@@ -2,12 +2,14 @@
 
 import json
 import math
+import os
 from collections.abc import Callable, Mapping
 from http import HTTPStatus
 from typing import Any, Protocol
 
 from werkzeug.wrappers import Response
 
+from jacinthfold.pump import Outlet
 from jacinthfold.server import CONNECTION_KEY, Connection, Environ
 
 INTERNAL_PREFIX = 'x-jacinthfold-'
@@ -101,8 +103,11 @@
     def start(self, status: int, headers: Mapping[str, str]) -> None:
         """Send the status line and headers."""
 
-    def send(self, payload: bytes) -> None:
-        """Send a part of the body; raise OSError when the caller is gone."""
+    def outlet(self) -> Outlet:
+        """Return what takes the body, after the head has been sent."""
+
+    def end_with(self, payload: bytes) -> None:
+        """Send a last part; raise OSError when the caller is gone."""
 
 
 class BufferSink:
@@ -121,15 +126,79 @@
         """Tell that the caller has seen nothing."""
         return False
 
+    @property
+    def held_bytes(self) -> int:
+        """Tell that nothing waits."""
+        return 0
+
     def start(self, status: int, headers: Mapping[str, str]) -> None:
         """Take the status and headers."""
         self.status = status
         self.headers = dict(headers)
 
+    def outlet(self) -> Outlet:
+        """Return this sink, which takes the body too."""
+        return self
+
     def send(self, payload: bytes) -> None:
         """Take a part of the body."""
         self.body.extend(payload)
 
+    def flush(self) -> None:
+        """Do nothing; nothing waits."""
+
+    def end_with(self, payload: bytes) -> None:
+        """Take the last part of the body."""
+        self.body.extend(payload)
+
+    def fileno(self) -> int:
+        """Tell that there is no descriptor."""
+        return -1
+
+
+class SocketOutlet:
+    """Write parts to a caller's socket and hold what it does not take."""
+
+    __slots__ = ('_descriptor', '_held', '_is_chunking')
+
+    def __init__(self, connection: Connection, *, is_chunking: bool) -> None:
+        """Take a connection whose head has been sent."""
+        # The server's own writer costs more than the rest of the relay, and
+        # it waits. The descriptor is non-blocking as the socket has a
+        # timeout, so a write takes what fits and returns.
+        self._descriptor = connection.socket.fileno()
+        self._is_chunking = is_chunking
+        self._held = b''
+
+    @property
+    def held_bytes(self) -> int:
+        """Return how much waits for the caller to read."""
+        return len(self._held)
+
+    def fileno(self) -> int:
+        """Return the caller's descriptor."""
+        return self._descriptor
+
+    def send(self, payload: bytes) -> None:
+        """Write a part; raise OSError when the caller is gone."""
+        if self._is_chunking:
+            payload = b'%x\r\n%b\r\n' % (len(payload), payload)
+        if self._held:
+            self._held += payload
+            return
+        self._write(payload)
+
+    def flush(self) -> None:
+        """Write what is held; raise OSError when the caller is gone."""
+        self._write(self._held)
+
+    def _write(self, payload: bytes) -> None:
+        try:
+            count = os.write(self._descriptor, payload)
+        except BlockingIOError:
+            count = 0
+        self._held = payload[count:]
+
 
 class CallerSink:
     """Send an answer to the caller, each part at once."""
@@ -145,14 +214,12 @@
         self._is_chunking = environ['SERVER_PROTOCOL'] == 'HTTP/1.1'
         self._start_response = start_response
         self._request_id = request_id
-        self._write: Callable[[bytes], object] | None = None
-        self._has_sent = False
-        self._has_length = False
+        self._outlet: SocketOutlet | None = None
 
     @property
     def has_started(self) -> bool:
         """Tell whether the caller may have seen a status."""
-        return self._write is not None
+        return self._outlet is not None
 
     def start(self, status: int, headers: Mapping[str, str]) -> None:
         """Send the status line and headers, once."""
@@ -165,24 +232,26 @@
         ]
         length = headers.get('content-length')
         if length is not None:
-            self._has_length = True
             passed.append(('Content-Length', length))
         passed.append(('X-Request-Id', self._request_id))
         phrase = HTTPStatus(status).phrase if status in _STATUSES else 'Status'
-        self._write = self._start_response(f'{status} {phrase}', passed)
-
-    def send(self, payload: bytes) -> None:
-        """Send a part of the body; raise OSError when the caller is gone."""
-        if self._has_sent and self._is_chunking and not self._has_length:
-            # The server's own writer costs more than the rest of the relay.
-            # After the head has left, parts go to the socket in one call.
-            self._connection.send_directly(
-                b'%x\r\n%b\r\n' % (len(payload), payload)
-            )
-            return
-        if self._write is not None:
-            self._write(payload)
-            self._has_sent = True
+        write = self._start_response(f'{status} {phrase}', passed)
+        self._outlet = SocketOutlet(
+            self._connection,
+            is_chunking=self._is_chunking and length is None,
+        )
+        write(b'')
+
+    def outlet(self) -> Outlet:
+        """Return what takes the body, after the head has been sent."""
+        if self._outlet is None:
+            raise OSError('the head has not been sent')
+        return self._outlet
+
+    def end_with(self, payload: bytes) -> None:
+        """Send a last part; raise OSError when the caller is gone."""
+        if self._outlet is not None:
+            self._outlet.send(payload)
 
 
 _STATUSES = frozenset(int(status) for status in HTTPStatus)
--- a/jacinthfold/config.py
+++ b/jacinthfold/config.py
@@ -209,7 +209,7 @@
             1, 60, '10', 'length of one waiting watch on the store'
         ),
         'watchers_per_data_centre': _count(
-            1, 8, '2', 'entry hosts of a data centre that watch the store'
+            1, 1024, '2', 'entry hosts of a data centre that watch the store'
         ),
         'host_list_seconds': _seconds(
             0.5, 300, '5', 'pause between two readings of the host list'
--- a/jacinthfold/intents.py
+++ b/jacinthfold/intents.py
@@ -165,7 +165,7 @@
     before = len(faults)
     if action not in ACTIONS:
         faults.append(f'{where}.action: one of {", ".join(ACTIONS)} is allowed')
-    if kind not in KINDS:
+    if not isinstance(kind, str) or kind not in KINDS:
         faults.append(f'{where}.kind: one of {", ".join(KINDS)} is allowed')
     if not _is_name(name):
         faults.append(f'{where}.name: 1 to {NAME_LIMIT} letters, digits, - _ .')
--- a/jacinthfold/node.py
+++ b/jacinthfold/node.py
@@ -189,6 +189,8 @@
                 'sent': self.peers.sent_count,
                 'received': self.peers.received_count,
                 'failed': self.peers.failed_count,
+                'sent_bytes': self.peers.sent_bytes,
+                'received_bytes': self.peers.received_bytes,
             },
             'requests': [
                 {
--- a/jacinthfold/once.py
+++ b/jacinthfold/once.py
@@ -177,6 +177,7 @@
             is_repeatable=False,
             first_byte_deadline=work.deadline,
             silence_timeout_seconds=remaining_seconds,
+            write_timeout_seconds=remaining_seconds,
             is_given_up=_never,
         )
 
--- a/jacinthfold/peers.py
+++ b/jacinthfold/peers.py
@@ -58,6 +58,7 @@
 URGENT_PAUSE_SECONDS = 0.05
 REMOTE_EVERY_ROUNDS = 3
 SEED_EVERY_ROUNDS = 6
+FULL_EVERY_ROUNDS = 8
 MESSAGE_CHANGE_LIMIT = 64
 
 
@@ -98,10 +99,12 @@
         self.members = members
         self.configuration = configuration
         self.targets = targets
+        self._rounds = 0
 
     def message(self, peer: Member | None, peer_revision: int) -> Exchange:
         """Return what a peer at a revision is to hear."""
         own = self.members.own
+        self._rounds += 1
         place = peer.data_centre if peer else ''
         # Of a peer not met before the region is not known; it gets all that
         # a foreign one would.
@@ -115,7 +118,12 @@
             revision=self.configuration.revision,
             heartbeats=heartbeats,
             members=[_member_message(own)],
-            targets=map(_report_message, self.targets.reports_for(region)),
+            targets=map(
+                _report_message,
+                self.targets.reports_for(
+                    region, all_of_them=self._rounds % FULL_EVERY_ROUNDS == 0
+                ),
+            ),
             changes=self._change_messages(peer_revision),
             unknown=self.members.unknown(),
         )
@@ -166,6 +174,8 @@
         self._secret = secret
         self._pull = pull
         self.message_count = 0
+        self.received_bytes = 0
+        self.sent_bytes = 0
 
     async def Sync(self, stream: Stream[Exchange, Exchange]) -> None:
         """Merge what a peer knows and answer with what we know."""
@@ -177,6 +187,8 @@
         sender = self._knowledge.members.find(request.sender)
         reply = self._knowledge.message(sender, request.revision)
         self._knowledge.add_unknown(reply, request.unknown)
+        self.received_bytes += request.ByteSize()
+        self.sent_bytes += reply.ByteSize()
         await stream.send_message(reply)
         if behind and sender:
             self._pull(sender)
@@ -228,6 +240,8 @@
         self._task: Future[None] | None = None
         self.extra_seeds: list[Place] = []
         self.sent_count = 0
+        self._sent_bytes = 0
+        self._received_bytes = 0
         self.failed_count = 0
 
     @property
@@ -235,6 +249,16 @@
         """Return how many calls peers made."""
         return self._service.message_count
 
+    @property
+    def sent_bytes(self) -> int:
+        """Return the bytes of all messages sent, answers included."""
+        return self._sent_bytes + self._service.sent_bytes
+
+    @property
+    def received_bytes(self) -> int:
+        """Return the bytes of all messages received, answers included."""
+        return self._received_bytes + self._service.received_bytes
+
     def start(self) -> None:
         """Listen; raise OSError when the port is taken."""
         self._loop.submit(self._listen()).result()
@@ -321,8 +345,10 @@
         peer = _find(members.known_members(), place)
         request = self._knowledge.message(peer, self._revisions.get(place, 0))
         self.sent_count += 1
+        self._sent_bytes += request.ByteSize()
         try:
             reply = await self._call(place, request)
+            self._received_bytes += reply.ByteSize()
             if self._knowledge.take_in(reply):
                 await self._fetch_snapshot(place)
         except Exception as error:
--- a/jacinthfold/polling.py
+++ b/jacinthfold/polling.py
@@ -81,7 +81,7 @@
             self._note_failure(target, error)
         else:
             self._failures.pop(target.name, None)
-            self._targets.merge([report])
+            self._targets.note_reading(report)
 
     def _begin(self, target: Target) -> None:
         # A frozen target holds its reader until the timeout. One reader a
--- a/jacinthfold/relay.py
+++ b/jacinthfold/relay.py
@@ -3,6 +3,7 @@
 import threading
 import time
 from collections.abc import Callable, Mapping
+from concurrent.futures import Future
 from enum import Enum
 from typing import Protocol
 
@@ -15,6 +16,7 @@
     refuse_reuse,
     turn_error,
 )
+from jacinthfold.pump import Outlet, Pump
 
 EVENT_END = b'\n\n'
 STREAM_END = b'data: [DONE]'
@@ -25,8 +27,7 @@
 REQUEST_ID_HEADER = 'x-request-id'
 HELD_BODY_BYTES = 65536
 BUFFER_BYTES = 16384
-IDLE_HANDLES_PER_ORIGIN = 64
-FIRST_ERROR_STATUS = 500
+KEPT_CONNECTION_SECONDS = 20
 GATEWAY_STATUSES = frozenset((502, 503, 504))
 
 
@@ -46,8 +47,8 @@
     def start(self, status: int, headers: Mapping[str, str]) -> None:
         """Send the status line and headers."""
 
-    def send(self, payload: bytes) -> None:
-        """Send a part of the body; raise OSError when the caller is gone."""
+    def outlet(self) -> Outlet:
+        """Return what takes the body, after the head has been sent."""
 
 
 class Attempt:
@@ -60,6 +61,7 @@
         'is_repeatable',
         'request_id',
         'silence_timeout_seconds',
+        'write_timeout_seconds',
     )
 
     def __init__(
@@ -70,6 +72,7 @@
         is_repeatable: bool,
         first_byte_deadline: float,
         silence_timeout_seconds: float,
+        write_timeout_seconds: float,
         is_given_up: Callable[[], bool],
     ) -> None:
         """Take the call, its bounds (monotonic) and when to give it up."""
@@ -78,6 +81,7 @@
         self.is_repeatable = is_repeatable
         self.first_byte_deadline = first_byte_deadline
         self.silence_timeout_seconds = silence_timeout_seconds
+        self.write_timeout_seconds = write_timeout_seconds
         self.is_given_up = is_given_up
 
 
@@ -105,61 +109,45 @@
         self.reason = ''
 
 
-class HandlePool:
-    """Keep connections for requests that may be repeated."""
-
-    def __init__(self) -> None:
-        """Start with no connection."""
-        self._guard = threading.Lock()
-        self._idle: dict[str, list[pycurl.Curl]] = {}
-
-    def take(self, origin: str) -> pycurl.Curl:
-        """Return a handle whose last answer came whole, or a new one."""
-        with self._guard:
-            idle = self._idle.get(origin)
-            return idle.pop() if idle else pycurl.Curl()
-
-    def give_back(self, origin: str, curl: pycurl.Curl) -> None:
-        """Keep a handle whose answer came whole."""
-        curl.reset()
-        with self._guard:
-            idle = self._idle.setdefault(origin, [])
-            if len(idle) < IDLE_HANDLES_PER_ORIGIN:
-                idle.append(curl)
-                return
-        curl.close()
-
-    def drop(self, origin: str) -> None:
-        """Close the idle connections to an address that failed."""
-        with self._guard:
-            handles = self._idle.pop(origin, [])
-        for curl in handles:
-            curl.close()
-
-
 class _Transfer:
-    """Receive one answer and hand its complete parts to the sink."""
-
-    def __init__(self, attempt: Attempt, sink: Sink, result: Result) -> None:
-        self._attempt = attempt
-        self._sink = sink
-        self.result = result
+    """Receive one answer; its methods run in the pump's thread."""
+
+    def __init__(self, attempt: Attempt, curl: pycurl.Curl, pump: Pump) -> None:
+        self.curl = curl
+        self.outlet: Outlet | None = None
+        self.done: Future[tuple[int, str]] = Future()
+        self.head: Future[bool] = Future()
+        self.result = Result()
         self.collector = HeaderCollector()
-        self.started = False
         self.sink_failed = False
         self.crossed = False
-        self.stream_ended = False
+        self._attempt = attempt
+        self._pump = pump
+        self._stream_ended = False
         self._is_stream = False
         self._is_held = False
         self._pending = b''
         self._started_at = time.monotonic()
-        self._last_part_at = 0.0
+        self._has_news = False
+        self._last_news_at = 0.0
+        self._held_since = 0.0
+
+    @property
+    def lacks_end_marker(self) -> bool:
+        """Tell whether a stream has ended without its end marker."""
+        return self._is_stream and not self._stream_ended
 
     def on_body(self, payload: bytes) -> int | None:
         """Take a part of the body from libcurl; -1 ends the transfer."""
-        self._last_part_at = time.monotonic()
-        if not self.started and not self._is_held and not self._begin():
-            return -1
+        self._has_news = True
+        if not self.head.done():
+            self._begin()
+            if self.crossed:
+                return -1
+            if not self._is_held:
+                # The request's own thread sends the head, which may wait
+                # for a slow caller; libcurl repeats this part afterwards.
+                return int(pycurl.WRITEFUNC_PAUSE)
         if self._is_held:
             self.result.body += payload
             return -1 if len(self.result.body) > HELD_BODY_BYTES else None
@@ -169,77 +157,87 @@
                 return None
         return self._send(payload)
 
-    def on_progress(self, *_: int) -> int:
-        """Tell libcurl to go on (0) or to give up (1)."""
-        now = time.monotonic()
-        if self._last_part_at:
-            silence_seconds = now - self._last_part_at
+    def check(self, now: float) -> bool:
+        """Tell whether the transfer is to go on."""
+        if self._has_news:
+            self._has_news = False
+            self._last_news_at = now
+        if self.outlet is not None and self.outlet.held_bytes:
+            return self._is_read_in_time(now)
+        self._held_since = 0
+        if self._last_news_at:
+            silence_seconds = now - self._last_news_at
             if silence_seconds > self._attempt.silence_timeout_seconds:
                 self.result.reason = 'silence in the middle of the answer'
-                return 1
+                return False
         elif now > self._attempt.first_byte_deadline:
             self.result.reason = 'no answer before the deadline'
-            return 1
+            return False
         if self._attempt.is_given_up():
             self.result.reason = self.result.reason or 'given up'
-            return 1
-        return 0
+            return False
+        return True
 
-    def begin_empty(self) -> None:
-        """Start an answer that came without a body."""
-        if not self.started and not self._is_held:
+    def on_end(self, done: 'Future[tuple[int, str]]') -> None:
+        """Let the request's thread see an answer that has no body."""
+        if self.head.done():
+            return
+        if done.result()[0] == pycurl.E_OK:
             self._begin()
+        else:
+            self.head.set_result(False)
+
+    def _is_read_in_time(self, now: float) -> bool:
+        # The target is not silent here: nothing is read from it while the
+        # caller has not taken what came before.
+        self._last_news_at = now
+        self._held_since = self._held_since or now
+        if now - self._held_since > self._attempt.write_timeout_seconds:
+            self.sink_failed = True
+            return False
+        return True
 
-    @property
-    def lacks_end_marker(self) -> bool:
-        """Tell whether a stream has ended without its end marker."""
-        return self._is_stream and not self.stream_ended
-
-    def _begin(self) -> bool:
-        self.result.first_byte_seconds = time.monotonic() - self._started_at
-        self.result.status = self.collector.status
-        self.result.headers = self.collector.headers
+    def _begin(self) -> None:
+        result = self.result
+        result.first_byte_seconds = time.monotonic() - self._started_at
+        result.status = self.collector.status
+        result.headers = self.collector.headers
         echoed = self.collector.headers.get(REQUEST_ID_HEADER)
-        if echoed not in {None, self._attempt.request_id}:
-            # The connection carries another request's answer.
-            self.crossed = True
-            return False
-        if _is_held(self.result):
-            self._is_held = True
-            return True
         content_type = self.collector.headers.get('content-type', '')
         self._is_stream = content_type.startswith(STREAM_TYPE)
-        self.started = True
-        try:
-            self._sink.start(self.result.status, self.result.headers)
-        except OSError:
-            self.sink_failed = True
-            return False
-        return True
+        # On a mismatch the connection carries another request's answer.
+        self.crossed = echoed not in {None, '', self._attempt.request_id}
+        self._is_held = self.crossed or _is_held(result)
+        self.head.set_result(not self._is_held)
 
     def _complete_events(self, payload: bytes) -> bytes:
         # Half an event at a cut can't be taken back from the caller, and a
         # resumed stream could not go on after it. Only whole ones leave.
         if self._pending:
             payload = self._pending + payload
-        end = payload.rfind(EVENT_END)
-        if end < 0:
-            self._pending = payload
-            return b''
-        end += len(EVENT_END)
-        self._pending = payload[end:]
-        whole = payload[:end]
-        self.result.delivered_events += whole.count(EVENT_END)
-        if STREAM_END in whole:
-            self.stream_ended = True
-        return whole
+        if payload.endswith(EVENT_END):
+            self._pending = b''
+        else:
+            end = payload.rfind(EVENT_END) + len(EVENT_END)
+            if end < len(EVENT_END):
+                end = 0
+            self._pending = payload[end:]
+            payload = payload[:end]
+        self.result.delivered_events += payload.count(EVENT_END)
+        if STREAM_END in payload:
+            self._stream_ended = True
+        return payload
 
     def _send(self, payload: bytes) -> int | None:
+        if self.outlet is None:
+            return None
         try:
-            self._sink.send(payload)
+            self.outlet.send(payload)
         except OSError:
             self.sink_failed = True
             return -1
+        if self.outlet.held_bytes:
+            self._pump.hold(self)
         return None
 
 
@@ -248,45 +246,62 @@
 
     def __init__(self) -> None:
         """Start with no connection."""
-        self._pool = HandlePool()
+        self._pump = Pump()
+        self._guard = threading.Lock()
+        self._fresh_until: dict[str, float] = {}
 
     def send(self, attempt: Attempt, sink: Sink) -> Result:
         """Make an attempt; the result says how it ended."""
-        result = Result()
-        transfer = _Transfer(attempt, sink, result)
         origin = '/'.join(attempt.call.url.split('/', 3)[:3])
-        if attempt.is_repeatable:
-            curl = self._pool.take(origin)
+        curl = pycurl.Curl()
+        transfer = _Transfer(attempt, curl, self._pump)
+        self._set_up(curl, attempt, transfer, origin)
+        transfer.done.add_done_callback(transfer.on_end)
+        self._pump.add(transfer)
+        if transfer.head.result():
+            self._send_head(transfer, sink)
+        code, message = transfer.done.result()
+        if code == pycurl.E_OK:
+            _judge_answer(transfer)
         else:
-            curl = pycurl.Curl()
-        self._set_up(curl, attempt, transfer)
+            _judge_failure(curl, code, message, transfer)
+        self._learn(origin, transfer.result)
+        curl.close()
+        return transfer.result
+
+    def _send_head(self, transfer: _Transfer, sink: Sink) -> None:
         try:
-            curl.perform()
-        except pycurl.error as error:
-            _judge_failure(curl, error, transfer)
-            curl.close()
-            if result.ending != Ending.CALLER_GONE:
-                self._pool.drop(origin)
-            return result
-        transfer.begin_empty()
-        _judge_answer(transfer)
-        if attempt.is_repeatable and result.ending == Ending.WHOLE:
-            self._pool.give_back(origin, curl)
-        else:
-            curl.close()
-        return result
+            sink.start(transfer.result.status, transfer.result.headers)
+        except OSError:
+            transfer.sink_failed = True
+        transfer.outlet = sink.outlet()
+        self._pump.go_on(transfer)
+
+    def _learn(self, origin: str, result: Result) -> None:
+        # Kept connections to a target can all have gone silent at once.
+        # After a failure new ones are used until the kept ones are too old.
+        if result.ending in {Ending.UNKNOWN, Ending.CUT}:
+            with self._guard:
+                self._fresh_until[origin] = (
+                    time.monotonic() + KEPT_CONNECTION_SECONDS
+                )
 
     def _set_up(
-        self, curl: pycurl.Curl, attempt: Attempt, transfer: _Transfer
+        self,
+        curl: pycurl.Curl,
+        attempt: Attempt,
+        transfer: _Transfer,
+        origin: str,
     ) -> None:
         prepare(curl, attempt.call)
         curl.setopt(pycurl.BUFFERSIZE, BUFFER_BYTES)
+        curl.setopt(pycurl.MAXAGE_CONN, KEPT_CONNECTION_SECONDS)
         curl.setopt(pycurl.HEADERFUNCTION, transfer.collector)
         curl.setopt(pycurl.WRITEFUNCTION, transfer.on_body)
-        curl.setopt(pycurl.NOPROGRESS, 0)
-        curl.setopt(pycurl.XFERINFOFUNCTION, transfer.on_progress)
         if not attempt.is_repeatable:
             refuse_reuse(curl)
+        elif self._fresh_until.get(origin, 0) > time.monotonic():
+            curl.setopt(pycurl.FRESH_CONNECT, 1)
 
 
 def _is_held(result: Result) -> bool:
@@ -298,16 +313,16 @@
 
 
 def _judge_failure(
-    curl: pycurl.Curl, error: pycurl.error, transfer: _Transfer
+    curl: pycurl.Curl, code: int, message: str, transfer: _Transfer
 ) -> None:
     result = transfer.result
-    turned = turn_error(curl, error)
+    turned = turn_error(curl, pycurl.error(code, message))
     result.reason = result.reason or str(turned)
     if transfer.sink_failed:
         result.ending = Ending.CALLER_GONE
     elif transfer.crossed:
         result.reason = 'the answer was to another request'
-    elif transfer.started:
+    elif transfer.outlet is not None:
         result.ending = Ending.CUT
     elif not turned.request_sent:
         result.ending = Ending.NOT_RUN
--- a/jacinthfold/server.py
+++ b/jacinthfold/server.py
@@ -167,10 +167,6 @@
         except (OSError, ValueError):
             return True
 
-    def send_directly(self, payload: bytes) -> None:
-        """Send bytes past the server's buffer; raise OSError if cut."""
-        self.socket.sendall(payload)
-
 
 class _Gateway(wsgi.Gateway_10):
     """Hand the connection to the application."""
--- a/jacinthfold/serving.py
+++ b/jacinthfold/serving.py
@@ -154,6 +154,7 @@
             is_repeatable=work.is_repeatable,
             first_byte_deadline=self._first_byte_deadline(work, view),
             silence_timeout_seconds=silence_seconds,
+            write_timeout_seconds=self._settings.callers.write_timeout_seconds,
             is_given_up=lambda: self._is_given_up(run, view),
         )
         return self._relay.send(attempt, run.sink)
@@ -254,7 +255,7 @@
             )
             text = json.dumps(error.to_document())
             try:
-                run.sink.send(f'event: error\ndata: {text}\n\n'.encode())
+                run.sink.end_with(f'event: error\ndata: {text}\n\n'.encode())
             except OSError:
                 return CutError('the caller has gone')
         return CutError(result.reason)
--- a/jacinthfold/standins/engine.py
+++ b/jacinthfold/standins/engine.py
@@ -166,6 +166,7 @@
     def complete(self, request: Request) -> Response:
         """Answer a completion, streamed or whole."""
         document = json.loads(request.get_data())
+        self.work['arrivals'] += 1
         refusal = self._refusal(document)
         if refusal:
             return refusal
@@ -308,6 +309,9 @@
             if engine.faults.get('cut_after_tokens') == number:
                 self.connection.socket.shutdown(2)
                 raise Cut
+            if engine.state == 'stopped':
+                self.connection.socket.shutdown(2)
+                raise Cut
             if number % 8 == 0 and self.connection.is_closed_by_caller():
                 engine.work['cancelled'] += 1
                 raise Cut
@@ -317,7 +321,9 @@
 
     def stream(self):
         """Yield server-sent events."""
-        for token in self.tokens():
+        for number, token in enumerate(self.tokens()):
+            if number == self.engine.faults.get('end_early_after_tokens'):
+                return
             yield _event(self._chunk(token, None))
         last = self._chunk('', 'stop')
         if (self.document.get('stream_options') or {}).get('include_usage'):
--- a/jacinthfold/targets.py
+++ b/jacinthfold/targets.py
@@ -11,6 +11,9 @@
 
 MILLISECONDS = 1000
 REPORT_LIFETIME_SECONDS = 10
+REPORT_NEWS_SECONDS = 3
+REPORT_REPEAT_SECONDS = 2
+REPORT_LOAD_STEP = 0.125
 LATENCY_MEMORY = 0.2
 LATENCY_HALF_LIFE_SECONDS = 10
 TYPICAL_FIRST_TOKEN_SECONDS = 0.2
@@ -76,6 +79,7 @@
         'in_flight_at_report',
         'is_listed_leaving',
         'latency_at',
+        'news_at',
         'received_at',
         'report',
         'returned_at',
@@ -87,6 +91,7 @@
         self.target = target
         self.report = TargetReport(target.name, 0, ReportState.UNKNOWN)
         self.received_at = now
+        self.news_at = now
         self.returned_at = now
         self.in_flight = 0
         self.in_flight_at_report = 0
@@ -110,6 +115,10 @@
         others = max(0, reported - self.in_flight_at_report)
         return others + self.in_flight
 
+    def heard_at(self, ever: bool) -> float:
+        """Return when a report came, or when one last was news."""
+        return self.received_at if ever else self.news_at
+
     @property
     def takes_work(self) -> bool:
         """Tell whether new requests may be sent."""
@@ -162,18 +171,48 @@
         """Return a target's view."""
         return self._views.get(name)
 
-    def reports_for(self, region: str) -> list[TargetReport]:
-        """Return the fresh reports that a peer in a region needs."""
+    def reports_for(
+        self, region: str, *, all_of_them: bool
+    ) -> list[TargetReport]:
+        """Return the reports that a peer in a region needs to hear."""
         if region != self._region:
             return []
-        now = self._clock.monotonic()
+        # Every report in every message would be most of a node's traffic. A
+        # report is passed on while it is news; a full exchange now and then
+        # mends what a lost message left out.
+        age_seconds = (
+            REPORT_LIFETIME_SECONDS if all_of_them else REPORT_NEWS_SECONDS
+        )
+        since = self._clock.monotonic() - age_seconds
         return [
             view.report
             for view in self.views()
-            if view.report.version
-            and now - view.received_at < REPORT_LIFETIME_SECONDS
+            if view.report.version and view.heard_at(all_of_them) > since
         ]
 
+    def note_reading(self, report: TargetReport) -> None:
+        """Take in an own reading; it is news only when it says something."""
+        now = self._clock.monotonic()
+        view = self._views.get(report.name)
+        if view is None:
+            return
+        old = view.report
+        is_steady = (
+            old.version > 0
+            and old.state == report.state
+            and old.models == report.models
+            and now - view.news_at < REPORT_REPEAT_SECONDS
+            and abs(old.running - report.running)
+            < report.slots * REPORT_LOAD_STEP
+        )
+        if not is_steady:
+            self.merge([report])
+            return
+        with self._guard:
+            report.version = old.version
+            self._take(view, report, now)
+        self.on_room()
+
     def merge(self, reports: Iterable[TargetReport]) -> None:
         """Take in reports; older ones change nothing."""
         urgent = False
@@ -182,6 +221,7 @@
             for report in reports:
                 view = self._views.get(report.name)
                 if view and self._is_news(view, report, now):
+                    view.news_at = now
                     urgent |= self._take(view, report, now)
         self.on_room()
         if urgent:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -48,6 +48,7 @@
     revision = fleet.change('erie-a', small_intents(fleet))
     fleet.wait_revision(revision)
     fleet.wait_targets_found()
+    fleet.wait_members(len(fleet.hosts))
 
 
 def chat(fleet, host, organisation_name='free', **fields):
--- a/tests/test_life_cycle.py
+++ b/tests/test_life_cycle.py
@@ -19,13 +19,21 @@
             )
 
 
+def arrivals(fleet, name):
+    """Return how many requests a target was sent, refused ones included."""
+    url = fleet.targets[name]['url']
+    return (
+        fleet.client.call_json('GET', f'{url}/work').json().get('arrivals', 0)
+    )
+
+
 def last_growth(fleet, name, watched_seconds):
-    """Return when the last execution of a target was seen to begin."""
+    """Return when the last request was seen to reach a target."""
     began = time.monotonic()
-    count = len(fleet.executions(name))
+    count = arrivals(fleet, name)
     last = 0.0
     while time.monotonic() - began < watched_seconds:
-        now_count = len(fleet.executions(name))
+        now_count = arrivals(fleet, name)
         if now_count > count:
             count, last = now_count, time.monotonic() - began
         time.sleep(0.02)
@@ -270,7 +278,14 @@
         threads = [
             threading.Thread(
                 target=lambda name=name: answers.append(
-                    chat(fleet, 'erie-a', name, stream=True, max_tokens=40)
+                    chat(
+                        fleet,
+                        'erie-a',
+                        name,
+                        stream=True,
+                        max_tokens=40,
+                        user=name,
+                    )
                 )
             )
             for name in ('free', 'bound') * 8
@@ -280,7 +295,7 @@
         for thread in threads:
             thread.join()
         assert_all_whole(answers, 40)
-        assert fleet.executions('review-3')
+        assert {one[1] for one in fleet.executions('review-3')} == {'free'}
         served = sum(len(fleet.executions(f'review-{n}')) for n in (1, 2, 3))
         assert served == len(answers)
         log = fleet.processes['huron-a'].log()
@@ -313,6 +328,13 @@
                 assert error['retry_after_seconds'] > 0
         served = sum(len(fleet.executions(f'review-{n}')) for n in (1, 2, 3))
         assert served >= 2
+        spilled = [
+            line.partition('request_id=')[2].split(' ')[0]
+            for name in fleet.hosts
+            for line in fleet.processes[name].log().splitlines()
+            if 'event=request_spilled' in line
+        ]
+        assert len(spilled) == len(set(spilled)) > 0
         assert served == sum(one.status == 200 for one in answers)
 
 
@@ -404,6 +426,19 @@
     assert work['orders'] == 1
 
 
+def test_stream_that_ends_without_its_marker_is_resumed(own_fleet):
+    """The engine's server ends the body as if it were whole, half-way.
+
+    The end marker is missing, so the rest comes from the other engine.
+    """
+    own_fleet.set_faults('review-1', end_early_after_tokens=4)
+    answers = [
+        chat(own_fleet, 'erie-a', 'bound', stream=True, max_tokens=10)
+        for _ in range(6)
+    ]
+    assert_all_whole(answers, 10)
+
+
 def test_refused_order_is_told_not_run_and_never_runs(own_fleet):
     for name in ('desk-1', 'desk-2'):
         own_fleet.set_faults(name, refuse=1)
--- a/tests/test_matrix.py
+++ b/tests/test_matrix.py
@@ -42,6 +42,7 @@
 LINK_FAULTS = {
     'cut': lambda link: link.close(),
     'reset': lambda link: link.close(reset=True),
+    'cut half': lambda link: setattr(link, 'is_halving', True),
     'one way up': lambda link: link.dropped.add('up'),
     'one way down': lambda link: link.dropped.add('down'),
     'silent': lambda link: setattr(link, 'is_silent', True),
@@ -51,6 +52,7 @@
 PROXY_FAULTS = {
     'cut': lambda proxy: proxy.cut(),
     'reset': lambda proxy: proxy.cut(reset=True),
+    'cut half': lambda proxy: proxy.cut(),
     'one way up': lambda proxy: proxy.dropped.add('up'),
     'one way down': lambda proxy: proxy.dropped.add('down'),
     'silent': lambda proxy: setattr(proxy, 'is_silent', True),
--- a/tests/test_partition.py
+++ b/tests/test_partition.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tests.helpers import all_orders, chat, issue_key, order, small_intents
-from tools.fleet import ORDER_KEY, Fleet, wait_until
+from tools.fleet import ORDER_KEY, Fleet
 from tools.partition import PeerNetwork
 from tools.proxy import Proxy
 
@@ -39,18 +39,10 @@
         revision = fleet.change('erie-a', small_intents(fleet))
         fleet.wait_revision(revision)
         fleet.wait_targets_found()
-        wait_for_members(fleet, 4)
+        fleet.wait_members(4)
         yield fleet
 
 
-def wait_for_members(fleet, count, hosts=(*ERIE, *HURON)):
-    for name in hosts:
-        wait_until(
-            lambda name=name: len(fleet.status(name)['members']) == count,
-            f'{name} sees {count} members',
-        )
-
-
 def put_limit(value):
     return [
         {
@@ -70,7 +62,7 @@
     fleet = split_fleet
     fleet.network.split(ERIE, HURON)
     fleet.stores['huron'].cut()
-    wait_for_members(fleet, 2)
+    fleet.wait_members(2)
     for host, name in (
         ('huron-a', 'away'),
         ('huron-b', 'away'),
@@ -86,7 +78,7 @@
     fleet.network.heal()
     fleet.stores['huron'].heal()
     fleet.wait_revision(revision)
-    wait_for_members(fleet, 4)
+    fleet.wait_members(4)
     assert len(all_orders(fleet)) == 3
 
 
@@ -122,7 +114,7 @@
     answer = order(fleet, 'huron-a', key)
     assert answer.json()['error']['outcome'] == 'unknown'
     fleet.network.heal()
-    wait_for_members(fleet, 4)
+    fleet.wait_members(4)
     again = order(fleet, 'huron-a', key)
     assert again.json() == first.json()
     assert len(all_orders(fleet)) == 1
@@ -159,4 +151,4 @@
     fleet.network.silence()
     revision = fleet.change('erie-a', put_limit(200))
     fleet.wait_revision(revision)
-    wait_for_members(fleet, 4)
+    fleet.wait_members(4)
--- /dev/null
+++ b/tools/ablate.py
@@ -0,0 +1,361 @@
+"""Take safeguards out of a copy, one at a time, and see their tests fail.
+
+A proof that passes with its safeguard gone proves nothing. The copy lies in a
+temporary folder; the project's own files are not touched.
+"""
+
+import json
+import shutil
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+COPIED = ('jacinthfold', 'tests', 'tools', 'pyproject.toml', 'KNOWN-RED.txt')
+
+
+class Ablation:
+    """Name a safeguard, how to take it out, and the test that must fail."""
+
+    def __init__(
+        self, promise: str, edits: list[tuple[str, str, str]], test: str
+    ) -> None:
+        self.promise = promise
+        self.edits = edits
+        self.test = test
+
+
+LIFE = 'tests/test_life_cycle.py::'
+MATRIX = 'tests/test_matrix.py::'
+CONFIGURATION = 'tests/test_configuration.py::'
+PARTITION = 'tests/test_partition.py::'
+NOBODY = 'tests/test_nobody_in.py::'
+WHOLE = 'tests/test_whole_path.py::'
+
+ABLATIONS = [
+    Ablation(
+        'runs at most once: no connection is used twice',
+        [
+            (
+                'relay.py',
+                '        if not attempt.is_repeatable:\n            refuse_reuse(curl)',
+                '        if False:\n            refuse_reuse(curl)',
+            ),
+        ],
+        LIFE + 'test_order_cut_without_answer_is_told_unknown',
+    ),
+    Ablation(
+        'runs at most once: orders to engines are not resent',
+        [
+            (
+                'client.py',
+                "        if call.method != 'GET':\n            refuse_reuse(curl)",
+                '        if False:\n            refuse_reuse(curl)',
+            ),
+        ],
+        LIFE + 'test_order_whose_answer_is_lost_is_read_back',
+    ),
+    Ablation(
+        'runs at most once: the owner remembers its keys',
+        [('keys.py', '            if record:\n', '            if False:\n')],
+        WHOLE + 'test_order_retried_at_another_host_runs_once',
+    ),
+    Ablation(
+        'runs at most once: a retry goes to the owner',
+        [
+            (
+                'once.py',
+                'if claim.incarnation == self._members.own.incarnation:',
+                'if True:',
+            ),
+        ],
+        WHOLE + 'test_order_retried_at_another_host_runs_once',
+    ),
+    Ablation(
+        'told not run means not run: a sent request is unknown',
+        [
+            (
+                'relay.py',
+                '    elif not turned.request_sent:\n',
+                '    elif True:\n',
+            ),
+        ],
+        MATRIX + 'test_order_runs_at_most_once[desk-1-body sent-reset]',
+    ),
+    Ablation(
+        'residency: callers at a wrong region are refused',
+        [
+            (
+                'front.py',
+                'if current is None or region not in current.regions:',
+                'if False:',
+            ),
+        ],
+        NOBODY + 'test_bound_data_is_refused_outside_its_region',
+    ),
+    Ablation(
+        'residency: neither end of a spill lets bound data through',
+        [
+            (
+                'spill.py',
+                '            and member.region in organisation.regions\n',
+                '',
+            ),
+            (
+                'relayed.py',
+                'if found is None or self._settings.host.region not in found.regions:',
+                'if found is None:',
+            ),
+        ],
+        LIFE + 'test_full_home_spills_once_and_never_for_bound_data',
+    ),
+    Ablation(
+        'whole answer: only whole events leave',
+        [
+            (
+                'relay.py',
+                "        if payload.endswith(EVENT_END):\n            self._pending = b''",
+                "        if True:\n            self._pending = b''",
+            ),
+        ],
+        MATRIX + 'test_stream_comes_whole_through_one_fault[middle-cut half]',
+    ),
+    Ablation(
+        'whole answer: a stream needs its end marker',
+        [
+            (
+                'relay.py',
+                'return self._is_stream and not self._stream_ended',
+                'return False',
+            ),
+        ],
+        LIFE + 'test_stream_that_ends_without_its_marker_is_resumed',
+    ),
+    Ablation(
+        'whole answer: a resumed stream goes on after the last token',
+        [
+            (
+                'serving.py',
+                "document['resume_after_tokens'] = run.delivered_events",
+                "document['resume_after_tokens'] = 0",
+            ),
+        ],
+        MATRIX + 'test_stream_comes_whole_through_one_fault[middle-kill]',
+    ),
+    Ablation(
+        'configuration never reverts: older snapshots are refused',
+        [
+            (
+                'configuration.py',
+                'if deployment.revision <= self.revision:',
+                'if False:',
+            ),
+            (
+                'revisions.py',
+                'if head.revision > self._configuration.revision:',
+                'if True:',
+            ),
+            (
+                'revisions.py',
+                'if self._configuration.offer_changes(head.changes):',
+                'if head.changes and self._configuration.offer_changes(head.changes):',
+            ),
+        ],
+        CONFIGURATION + 'test_store_that_lost_everything_reverts_nothing',
+    ),
+    Ablation(
+        'configuration: a paused host refuses until it has met its peers',
+        [
+            (
+                'node.py',
+                'return self._is_joined and paused_seconds < PAUSE_LIMIT_SECONDS',
+                'return self._is_joined',
+            ),
+        ],
+        CONFIGURATION + 'test_frozen_host_serves_nothing_under_withdrawn_rules',
+    ),
+    Ablation(
+        'configuration: conflicting plans',
+        [('revisions.py', '    if touched:\n', '    if False:\n')],
+        CONFIGURATION + 'test_two_operators_confirm_at_once_and_one_wins',
+    ),
+    Ablation(
+        'configuration: a lost confirmation is found by its identifier',
+        [
+            (
+                'revisions.py',
+                'if earlier.plan_id == plan_id:',
+                'if False:',
+            ),
+        ],
+        CONFIGURATION
+        + 'test_confirmation_whose_answer_is_lost_takes_effect_once',
+    ),
+    Ablation(
+        'no loop: a request that came from a peer is not passed on',
+        [('relayed.py', '        work.hops = 1\n', '')],
+        LIFE + 'test_two_full_regions_do_not_pass_requests_to_and_fro',
+    ),
+    Ablation(
+        'a cut-off region serves: readiness does not need the store',
+        [
+            (
+                'node.py',
+                'return self._is_joined and paused_seconds < PAUSE_LIMIT_SECONDS',
+                'return self._is_joined and self._watcher.is_store_reachable',
+            ),
+        ],
+        PARTITION + 'test_region_cut_off_from_all_serves_its_own',
+    ),
+    Ablation(
+        'leaving targets: reports decide',
+        [
+            (
+                'targets.py',
+                'and self.report.state in {ReportState.ACTIVE, ReportState.UNKNOWN}',
+                'and True',
+            ),
+        ],
+        LIFE + 'test_target_that_leaves_by_itself_gets_no_new_work',
+    ),
+    Ablation(
+        'leaving targets: the list of hosts is heeded',
+        [('targets.py', '            and not self.is_listed_leaving\n', '')],
+        LIFE + 'test_target_listed_as_leaving_gets_no_new_work',
+    ),
+    Ablation(
+        'planned stop: an entry host ends what is in flight',
+        [
+            (
+                'node.py',
+                '        while self.in_flight.works():\n',
+                '        while False:\n',
+            )
+        ],
+        LIFE + 'test_entry_host_stops_without_cutting_a_stream',
+    ),
+    Ablation(
+        'planned stop: a target is ordered to stop once it is idle',
+        [('orders.py', 'if not self._is_quiet(target, report):', 'if False:')],
+        LIFE + 'test_target_told_to_stop_is_ordered_so_once_it_is_idle',
+    ),
+    Ablation(
+        'limits hold across entry hosts',
+        [
+            (
+                'limits.py',
+                'organisation.limit_requests_per_second * self.share(',
+                'organisation.limit_requests_per_second * _whole(self.share)(',
+            ),
+            (
+                'limits.py',
+                'class LimitError(Exception):',
+                'def _whole(_):\n    return lambda *args: 1.0\n\n\n'
+                'class LimitError(Exception):',
+            ),
+        ],
+        CONFIGURATION + 'test_limit_holds_across_entry_hosts',
+    ),
+    Ablation(
+        'nobody in: dot segments',
+        [
+            (
+                'front.py',
+                "if DOT_SEGMENTS & set(request.path.split('/')):",
+                'if False:',
+            ),
+            ('client.py', 'curl.setopt(pycurl.PATH_AS_IS, 1)', 'pass'),
+        ],
+        NOBODY + 'test_malformed_request_never_reaches_a_target[path climbing]',
+    ),
+    Ablation(
+        'nobody in: a slow head has a deadline',
+        [('server.py', '        if self.deadline:\n', '        if False:\n')],
+        NOBODY + 'test_slow_sender_is_cut_by_the_deadline_of_the_head',
+    ),
+    Ablation(
+        'silent links are replaced',
+        [
+            (
+                'peers.py',
+                '            self._drop(place)\n            logs',
+                '            logs',
+            )
+        ],
+        PARTITION + 'test_silent_links_are_replaced_by_new_ones',
+    ),
+    Ablation(
+        'a silent connection to a target is given up in time',
+        [
+            (
+                'serving.py',
+                'return min(work.deadline, self._clock.monotonic() + seconds)',
+                'return work.deadline',
+            ),
+        ],
+        MATRIX + 'test_stream_comes_whole_through_one_fault[head sent-silent]',
+    ),
+]
+
+
+def copy_without(ablation: Ablation, folder: Path) -> None:
+    """Copy the project with the safeguard taken out."""
+    for name in COPIED:
+        source = ROOT / name
+        if source.is_dir():
+            shutil.copytree(
+                source,
+                folder / name,
+                ignore=shutil.ignore_patterns('__pycache__'),
+            )
+        else:
+            shutil.copy(source, folder / name)
+    for name, old, new in ablation.edits:
+        path = folder / 'jacinthfold' / name
+        text = path.read_text()
+        if text.count(old) != 1:
+            raise SystemExit(f'error: {ablation.promise}: {name} lacks {old!r}')
+        path.write_text(text.replace(old, new))
+
+
+def run(folder: Path, test: str) -> str:
+    """Run a test in the copy; return 'passed', 'failed' or what else."""
+    done = subprocess.run(
+        [sys.executable, '-m', 'pytest', '-q', '-x', test],
+        cwd=folder,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    words = {0: 'passed', 1: 'failed'}
+    return words.get(done.returncode, done.stdout[-400:] + done.stderr[-400:])
+
+
+def main() -> int:
+    """Run all ablations whose promise contains the argument."""
+    wanted = sys.argv[1] if len(sys.argv) > 1 else ''
+    rows = []
+    for ablation in ABLATIONS:
+        if wanted not in ablation.promise:
+            continue
+        with tempfile.TemporaryDirectory(prefix='jf-ablation-') as name:
+            copy_without(ablation, Path(name))
+            began = time.monotonic()
+            outcome = run(Path(name), ablation.test)
+        seconds = time.monotonic() - began
+        rows.append([ablation.promise, ablation.test, outcome])
+        print(f'{outcome:8} {seconds:5.1f} s  {ablation.promise}', flush=True)
+    survivors = [row for row in rows if row[2] != 'failed']
+    out = ROOT / 'bench' / 'out'
+    out.mkdir(parents=True, exist_ok=True)
+    (out / 'ablations.json').write_text(json.dumps(rows, indent=2))
+    print(
+        f'{len(rows) - len(survivors)} of {len(rows)} tests failed as they should'
+    )
+    return 1 if survivors else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -67,6 +67,7 @@
     say(operator(fleet, 'confirm', plan['plan_id']).strip())
     fleet.wait_revision(1)
     fleet.wait_targets_found()
+    fleet.wait_members(len(fleet.hosts))
 
 
 def show_processes(fleet: Fleet) -> None:
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -315,6 +315,13 @@
                 f'{name} has revision {revision}',
             )
 
+    def wait_members(self, count: int, *names: str) -> None:
+        for name in names or tuple(self.hosts):
+            wait_until(
+                lambda name=name: len(self.status(name)['members']) == count,
+                f'{name} sees {count} members',
+            )
+
     def wait_targets_found(self, *names: str) -> None:
         for name in names or tuple(self.hosts):
             wait_until(
--- a/tools/proxy.py
+++ b/tools/proxy.py
@@ -22,6 +22,7 @@
         self.client = client
         self.server: socket.socket | None = None
         self.is_silent = False
+        self.is_halving = False
         self.dropped: set[Direction] = set()
         self.delay_seconds = 0.0
         self.drip_seconds = 0.0
@@ -185,6 +186,10 @@
             return
         time.sleep(link.delay_seconds or self.delay_seconds)
         drip_seconds = link.drip_seconds or self.drip_seconds
+        if link.is_halving:
+            sink.sendall(payload[: len(payload) // 2])
+            link.close()
+            return
         if not drip_seconds:
             sink.sendall(payload)
             return
