--- a/jacinthfold/node.py
+++ b/jacinthfold/node.py
@@ -3,7 +3,6 @@
 import os
 import random
 import signal
-import sys
 import threading
 import time
 from collections.abc import Callable
@@ -42,7 +41,6 @@
 from jacinthfold.work import InFlight
 
 BEAT_SECONDS = 0.25
-SWITCH_SECONDS = 0.0005
 PAUSE_LIMIT_SECONDS = 2
 SPARE_THREADS = 32
 CONTROL_THREADS = 8
@@ -56,10 +54,6 @@
 
     def __init__(self, settings: Settings, clock: Clock) -> None:
         """Put the parts together; nothing runs yet."""
-        # The pump wakes for every token and wants the interpreter for some
-        # ten microseconds. At Python's 5 ms a thread that parses a request
-        # keeps it waiting far longer than a token's time.
-        sys.setswitchinterval(SWITCH_SECONDS)
         self._settings = settings
         self._clock = clock
         self._started_at = clock.monotonic()
@@ -195,6 +189,8 @@
                 'sent': self.peers.sent_count,
                 'received': self.peers.received_count,
                 'failed': self.peers.failed_count,
+                'sent_bytes': self.peers.sent_bytes,
+                'received_bytes': self.peers.received_bytes,
             },
             'requests': [
                 {
