--- a/jacinthfold/serving.py
+++ b/jacinthfold/serving.py
@@ -25,6 +25,7 @@
 from jacinthfold.work import Work
 
 ATTEMPT_LIMIT = 3
+FULL_WORD = 'full'
 DOWN_STATES = frozenset((ReportState.UNREACHABLE, ReportState.STOPPED))
 STATE_WORDS: Mapping[str, ReportState] = {
     'leaving': ReportState.LEAVING,
@@ -218,12 +219,17 @@
                 self._metrics.first_token_seconds.observe(seconds)
             self._targets.note_first_token(view, seconds)
         elif result.ending == Ending.NOT_RUN and result.headers:
-            state = STATE_WORDS.get(result.reason)
-            if state:
-                self._targets.observe(view.target.name, state)
+            self._learn_refusal(view, result.reason)
         elif result.ending != Ending.CALLER_GONE:
             self._targets.note_failure(view)
 
+    def _learn_refusal(self, view: TargetView, reason: str) -> None:
+        state = STATE_WORDS.get(reason)
+        if reason == FULL_WORD:
+            self._targets.note_full(view)
+        elif state:
+            self._targets.observe(view.target.name, state)
+
     def _check_retry(self, run: '_Run', result: Result) -> None:
         """Return when another attempt may follow; raise otherwise."""
         work = run.work
--- a/jacinthfold/targets.py
+++ b/jacinthfold/targets.py
@@ -19,6 +19,9 @@
 LATENCY_HALF_LIFE_SECONDS = 10
 TYPICAL_FIRST_TOKEN_SECONDS = 0.2
 SLOW_RATIO = 2
+LIMIT_DECREASE = 0.7
+LIMIT_INCREASE = 0.02
+LEAST_LIMIT_SHARE = 0.25
 DEFAULT_SLOTS = 8
 FIRST_RAMP_SHARE = 0.25
 
@@ -83,6 +86,7 @@
         'own_peak_before',
         'is_listed_leaving',
         'latency_at',
+        'limit_share',
         'news_at',
         'received_at',
         'report',
@@ -100,6 +104,7 @@
         self.in_flight = 0
         self.own_peak = 0
         self.pending_bytes = 0
+        self.limit_share = 1.0
         self.own_peak_before = 0
         self.failure_count = 0
         self.broken_until = now
@@ -318,10 +323,20 @@
         now = self._clock.monotonic()
         with self._guard:
             view.failure_count = 0
+            view.limit_share = min(1.0, view.limit_share + LIMIT_INCREASE)
             step = (seconds - view.first_token_seconds) * LATENCY_MEMORY
             view.first_token_seconds += step
             view.latency_at = now
 
+    def note_full(self, view: TargetView) -> None:
+        """Learn from a refusal for lack of room: send it less for a while."""
+        # Several hosts may each think that the last place is theirs. The
+        # target's own word counts for more than any report.
+        with self._guard:
+            view.limit_share = max(
+                LEAST_LIMIT_SHARE, view.limit_share * LIMIT_DECREASE
+            )
+
     def note_failure(self, view: TargetView) -> None:
         """Learn from a failure; several in a row take the target out."""
         now = self._clock.monotonic()
@@ -378,11 +393,12 @@
         if self._routing.ramp_seconds:
             share = (now - view.returned_at) / self._routing.ramp_seconds
             ramp = min(1.0, max(FIRST_RAMP_SHARE, share))
+        slots = view.slots * self._routing.slot_overcommit
         return Candidate(
             view.target.name,
             load=view.load,
             slots=view.slots,
-            capacity=view.slots * self._routing.slot_overcommit * ramp,
+            capacity=max(1.0, slots * ramp * view.limit_share),
             first_token_seconds=self._latency(view, now, usual),
             pending_bytes=view.pending_bytes,
         )
