--- a/jacinthfold/keys.py
+++ b/jacinthfold/keys.py
@@ -84,14 +84,33 @@
 class KeyRecord:
     """Hold the fate of one key's request."""
 
-    __slots__ = ('answer', 'expires_at', 'fingerprint', 'key')
+    __slots__ = ('_running', 'expires_at', 'fingerprint', 'kept', 'key')
 
     def __init__(self, key: str, fingerprint: str, expires_at: float) -> None:
         """Start with no answer."""
         self.key = key
         self.fingerprint = fingerprint
         self.expires_at = expires_at
-        self.answer: Future[KeptAnswer] = Future()
+        self.kept: KeptAnswer | None = None
+        self._running: Future[KeptAnswer] | None = Future()
+
+    def end(self, answer: KeptAnswer) -> None:
+        """Give the answer to all who wait for it."""
+        running = self._running
+        self.kept = answer
+        # A future is most of a record's memory, and records live for a day.
+        self._running = None
+        if running is not None:
+            running.set_result(answer)
+
+    def wait(self, timeout_seconds: float) -> KeptAnswer:
+        """Return the answer; raise TimeoutError while there is none."""
+        running = self._running
+        if running is not None:
+            return running.result(timeout_seconds)
+        if self.kept is None:
+            raise TimeoutError
+        return self.kept
 
 
 class KeyIssuer:
@@ -184,18 +203,18 @@
 
     def finish(self, record: KeyRecord, answer: KeptAnswer) -> None:
         """Keep the answer of a request that ran or may have run."""
-        record.answer.set_result(answer)
+        record.end(answer)
 
     def forget(self, record: KeyRecord, answer: KeptAnswer) -> None:
         """Drop a key whose request surely did not run."""
         with self._guard:
             self._records.pop(record.key, None)
-        record.answer.set_result(answer)
+        record.end(answer)
 
     def _drop_expired(self, now: float) -> None:
         while self._records:
             record = next(iter(self._records.values()))
-            if record.expires_at > now or not record.answer.done():
+            if record.expires_at > now or record.kept is None:
                 return
             self._records.pop(record.key)
 
--- a/jacinthfold/once.py
+++ b/jacinthfold/once.py
@@ -1,6 +1,5 @@
 """Serve requests that may not be repeated, under a key, at most once."""
 
-from concurrent.futures import TimeoutError as FutureTimeoutError
 from http import HTTPStatus
 
 from werkzeug.wrappers import Response
@@ -123,15 +122,15 @@
         else:
             answer = _kept(sink)
         finally:
-            if not record.answer.done():
+            if record.kept is None:
                 self._table.finish(record, _replayable(answer))
         return answer
 
     def _await(self, work: Work, record: KeyRecord) -> KeptAnswer:
         remaining_seconds = work.deadline - self._clock.monotonic()
         try:
-            return record.answer.result(max(0, remaining_seconds))
-        except FutureTimeoutError as error:
+            return record.wait(max(0, remaining_seconds))
+        except TimeoutError as error:
             raise CallerError(
                 HTTPStatus.CONFLICT,
                 'The request with this key is still running.',
--- a/tests/test_life_cycle.py
+++ b/tests/test_life_cycle.py
@@ -4,7 +4,6 @@
 import signal
 import socket
 import threading
-import time
 
 from tests.helpers import chat, order, small_fleet, stream_tokens
 from tools.fleet import ADDRESS, ORDER_KEY, wait_until
