End a stream that lacks only its marker; never put an error inside a spilled one

Found by reading. A stream cut after its last chunk was resumed and its last chunk came twice. And a spilled stream that the peer gave up brought the peer's error event into the stream, counted as a token, before it was resumed at home: one token would have been skipped. Neither had been seen by a test; the first has one now, and the matrix counts last chunks. The second is not proved by a test.

A fault of ours in a request (an exception) now answers 500 with outcome unknown.

--- a/jacinthfold/front.py
+++ b/jacinthfold/front.py
@@ -6,7 +6,12 @@
 from werkzeug.wrappers import Request, Response
 
 from jacinthfold import logs
-from jacinthfold.answers import CallerError, CallerSink, json_response
+from jacinthfold.answers import (
+    CallerError,
+    CallerSink,
+    CutError,
+    json_response,
+)
 from jacinthfold.clock import Clock
 from jacinthfold.config import Settings
 from jacinthfold.configuration import Configuration
@@ -65,6 +70,17 @@
                 reason=str(error),
             )
             response = error.response(request_id)
+        except CutError:
+            raise
+        except Exception as error:
+            # A fault of ours must not look like an answer, nor say that
+            # nothing ran.
+            logs.error(
+                'request_broke', request_id=request_id, reason=repr(error)
+            )
+            if sink.has_started:
+                raise
+            response = _internal_error().response(request_id)
         if response is None:
             return []
         return response(environ, start_response)
@@ -267,3 +283,12 @@
                 'rate_limit_exceeded',
                 retry_after_seconds=error.retry_after_seconds,
             ) from error
+
+
+def _internal_error() -> CallerError:
+    return CallerError(
+        HTTPStatus.INTERNAL_SERVER_ERROR,
+        'The entry host failed on this request.',
+        'internal_error',
+        outcome='unknown',
+    )
--- a/jacinthfold/relay.py
+++ b/jacinthfold/relay.py
@@ -97,6 +97,7 @@
         'ending',
         'first_byte_seconds',
         'headers',
+        'last_events',
         'reason',
         'status',
     )
@@ -108,6 +109,7 @@
         self.headers: dict[str, str] = {}
         self.body = b''
         self.delivered_events = 0
+        self.last_events = b''
         self.first_byte_seconds = 0.0
         self.reason = ''
 
@@ -227,6 +229,7 @@
             self._pending = payload[end:]
             payload = payload[:end]
         self.result.delivered_events += payload.count(EVENT_END)
+        self.result.last_events = payload or self.result.last_events
         if STREAM_END in payload:
             self._stream_ended = True
         return payload
--- a/jacinthfold/serving.py
+++ b/jacinthfold/serving.py
@@ -3,6 +3,7 @@
 import json
 from collections.abc import Callable, Mapping
 from http import HTTPStatus
+from typing import Any
 
 from jacinthfold import logs
 from jacinthfold.admission import (
@@ -26,6 +27,7 @@
 
 ATTEMPT_LIMIT = 3
 FULL_WORD = 'full'
+END_EVENT = b'data: [DONE]\n\n'
 DOWN_STATES = frozenset((ReportState.UNREACHABLE, ReportState.STOPPED))
 STATE_WORDS: Mapping[str, ReportState] = {
     'leaving': ReportState.LEAVING,
@@ -72,7 +74,7 @@
             # retry: the request takes its place in the home queue.
             if result is None or result.ending == Ending.NOT_RUN:
                 result = self._try_here(run)
-            if result.ending == Ending.WHOLE:
+            if result.ending == Ending.WHOLE or _lacks_only_end(run, result):
                 return result
             self._check_retry(run, result)
             run.note(result)
@@ -267,7 +269,9 @@
 
     def _cut(self, run: '_Run', result: Result) -> CutError:
         self._metrics.endings.labels('cut').inc()
-        if run.work.is_stream:
+        # A peer that passed the request on to us resumes the stream itself; an
+        # error event of ours would stand in the middle of it.
+        if run.work.is_stream and not run.work.hops:
             error = CallerError(
                 HTTPStatus.BAD_GATEWAY,
                 'The answer was cut; what came before this is not whole.',
@@ -359,6 +363,30 @@
             self.was_unknown = True
 
 
+def _lacks_only_end(run: _Run, result: Result) -> bool:
+    """Send the end marker of a stream that was cut just before it."""
+    # Resumed, such a stream would bring its last chunk a second time.
+    if result.ending != Ending.CUT or not run.work.is_stream:
+        return False
+    if not _is_last_chunk(run.work.document or {}, result.last_events):
+        return False
+    run.sink.end_with(END_EVENT)
+    return True
+
+
+def _is_last_chunk(document: dict[str, Any], events: bytes) -> bool:
+    last = events.strip().rpartition(b'data: ')[2]
+    try:
+        chunk = json.loads(last)
+        is_finished = chunk['choices'][0]['finish_reason'] is not None
+    except (LookupError, TypeError, ValueError):
+        return False
+    options = document.get('stream_options') or {}
+    return is_finished and (
+        'usage' in chunk or not options.get('include_usage')
+    )
+
+
 def _engine_body(run: _Run) -> bytes:
     document = dict(run.work.document or {})
     document['priority'] = run.work.priority
--- a/jacinthfold/standins/engine.py
+++ b/jacinthfold/standins/engine.py
@@ -336,6 +336,8 @@
         if (self.document.get('stream_options') or {}).get('include_usage'):
             last['usage'] = self.usage
         yield _event(last)
+        if self.engine.faults.get('end_without_marker'):
+            return
         yield b'data: [DONE]\n\n'
 
     def whole(self) -> dict:
--- a/tests/test_life_cycle.py
+++ b/tests/test_life_cycle.py
@@ -459,6 +459,18 @@
     assert_all_whole(answers, 7)
 
 
+def test_stream_cut_before_its_end_marker_gets_just_that(own_fleet):
+    """The engine is cut off after the last chunk and before the end marker.
+
+    All tokens and the last chunk have left. Resumed elsewhere the last chunk
+    would come twice; the entry host adds the end marker itself.
+    """
+    own_fleet.set_faults('review-3', end_without_marker=1)
+    answer = chat(own_fleet, 'huron-a', 'away', stream=True)
+    assert_all_whole([answer], 5)
+    assert answer.body.count(b'"finish_reason": "stop"') == 1
+
+
 def test_answer_to_another_request_never_reaches_the_caller(own_fleet):
     """An engine answers with another request's identifier.
 
--- a/tests/test_matrix.py
+++ b/tests/test_matrix.py
@@ -245,6 +245,7 @@
         range(count)
     )
     assert has_ended
+    assert answer.body.count(b'"finish_reason": "stop"') == 1
 
 
 def assert_honest(answer):
