--- a/jacinthfold/engines.py
+++ b/jacinthfold/engines.py
@@ -6,7 +6,7 @@
 
 from jacinthfold.client import ClientError, HttpClient
 from jacinthfold.deployment import Target
-from jacinthfold.targets import ReportState, TargetReport
+from jacinthfold.views import ReportState, TargetReport
 
 HTTP_OK = 200
 HTTP_CONFLICT = 409
--- a/jacinthfold/serving.py
+++ b/jacinthfold/serving.py
@@ -22,7 +22,8 @@
 from jacinthfold.relay import STREAM_TYPE, Attempt, Ending, Relay, Result
 from jacinthfold.retries import RetryBudget
 from jacinthfold.spill import Spill
-from jacinthfold.targets import ReportState, TargetTable, TargetView
+from jacinthfold.targets import TargetTable
+from jacinthfold.views import ReportState, TargetView
 from jacinthfold.work import Work
 
 ATTEMPT_LIMIT = 3
