--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -26,7 +26,8 @@
 from jacinthfold.exchange import Knowledge
 from jacinthfold.peers_pb2 import Exchange
 from jacinthfold.routing import PrefixBeliefs, Prompt
-from jacinthfold.targets import ReportState, TargetReport, TargetTable
+from jacinthfold.targets import TargetTable
+from jacinthfold.views import ReportState, TargetReport
 from tests import fakes
 from tools.fleet import Fleet, organisation
 
--- a/jacinthfold/exchange.py
+++ b/jacinthfold/exchange.py
@@ -20,7 +20,8 @@
 from jacinthfold.peers_pb2 import (
     TargetReport as ReportMessage,
 )
-from jacinthfold.targets import TargetReport, TargetTable
+from jacinthfold.targets import TargetTable
+from jacinthfold.views import TargetReport
 
 FULL_EVERY_ROUNDS = 8
 MESSAGE_CHANGE_LIMIT = 64
--- a/jacinthfold/inspection.py
+++ b/jacinthfold/inspection.py
@@ -4,7 +4,7 @@
 from typing import TYPE_CHECKING, Any
 
 from jacinthfold import config
-from jacinthfold.targets import TargetView
+from jacinthfold.views import TargetView
 from jacinthfold.version import VERSION
 
 if TYPE_CHECKING:
--- a/jacinthfold/orders.py
+++ b/jacinthfold/orders.py
@@ -17,7 +17,8 @@
 from jacinthfold.hashing import rank
 from jacinthfold.members import MemberTable
 from jacinthfold.store import Store, StoreError
-from jacinthfold.targets import ReportState, TargetReport, TargetTable
+from jacinthfold.targets import TargetTable
+from jacinthfold.views import ReportState, TargetReport
 
 LEASE_PREFIX = 'jacinthfold/orders'
 CANDIDATE_COUNT = 2
--- a/jacinthfold/polling.py
+++ b/jacinthfold/polling.py
@@ -16,7 +16,8 @@
 )
 from jacinthfold.hashing import rank
 from jacinthfold.members import MemberTable
-from jacinthfold.targets import ReportState, TargetTable
+from jacinthfold.targets import TargetTable
+from jacinthfold.views import ReportState
 
 POLL_THREADS = 8
 FAILURES_TO_DOWN = 2
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -14,7 +14,8 @@
 from jacinthfold.members import Heartbeat, Member, MemberState, MemberTable
 from jacinthfold.retries import STARTING_TOKENS, RetryBudget
 from jacinthfold.routing import Candidate, Prompt, WeightedPolicy, make_policy
-from jacinthfold.targets import ReportState, TargetReport, TargetTable
+from jacinthfold.targets import TargetTable
+from jacinthfold.views import ReportState, TargetReport
 from tests import fakes
 
 PREFIX = b'p' * 4096
