--- a/Makefile
+++ b/Makefile
@@ -30,10 +30,12 @@
 
 lint: $(INSTALLED)
 	$(BIN)/ruff format --check .
+	$(BIN)/ruff check --select I .
 	$(BIN)/flake8 .
 	$(BIN)/mypy
 
 format: $(INSTALLED)
+	$(BIN)/ruff check --quiet --select I --fix .
 	$(BIN)/ruff format .
 
 matrix: $(INSTALLED)
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -20,10 +20,10 @@
 from jacinthfold.configuration import Change, Configuration, decode_snapshot
 from jacinthfold.deployment import Deployment, Organisation, Region
 from jacinthfold.engines import HttpTargetClient
+from jacinthfold.exchange import Knowledge
 from jacinthfold.keys import KeptAnswer, KeyTable, fingerprint
 from jacinthfold.limits import Limiter
 from jacinthfold.members import Heartbeat, Member, MemberState, MemberTable
-from jacinthfold.exchange import Knowledge
 from jacinthfold.peers_pb2 import Exchange
 from jacinthfold.routing import PrefixBeliefs, Prompt
 from jacinthfold.targets import TargetTable
--- a/jacinthfold/inspection.py
+++ b/jacinthfold/inspection.py
@@ -4,8 +4,8 @@
 from typing import TYPE_CHECKING, Any
 
 from jacinthfold import config
-from jacinthfold.views import TargetView
 from jacinthfold.version import VERSION
+from jacinthfold.views import TargetView
 
 if TYPE_CHECKING:
     from jacinthfold.node import Node
--- a/jacinthfold/operators.py
+++ b/jacinthfold/operators.py
@@ -16,8 +16,8 @@
 from jacinthfold.config import Settings
 from jacinthfold.configuration import Configuration
 from jacinthfold.deployment import thing_document
-from jacinthfold.reading import health, read_body
 from jacinthfold.metrics import Metrics
+from jacinthfold.reading import health, read_body
 from jacinthfold.revisions import (
     ConfirmUnknownError,
     NotConfirmedError,
--- a/jacinthfold/peers.py
+++ b/jacinthfold/peers.py
@@ -8,7 +8,6 @@
 import hmac
 import random
 import threading
-
 from collections.abc import Awaitable, Callable, Iterable
 from concurrent.futures import Future
 from typing import Any, TypeVar
--- a/jacinthfold/standins/web.py
+++ b/jacinthfold/standins/web.py
@@ -18,7 +18,6 @@
     StartResponse,
 )
 
-
 CROSSED_KEY = 'jacinthfold.crossed'
 
 
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -17,11 +17,11 @@
     decode_snapshot,
 )
 from jacinthfold.deployment import KINDS, Deployment, Organisation
-from jacinthfold.reading import completion_work
+from jacinthfold.exchange import Knowledge
 from jacinthfold.keys import InvalidKeyError, KeyIssuer
 from jacinthfold.members import Member, MemberTable
-from jacinthfold.exchange import Knowledge
 from jacinthfold.peers_pb2 import Exchange
+from jacinthfold.reading import completion_work
 from jacinthfold.targets import TargetTable
 from tests import fakes
 
