--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -224,7 +224,7 @@
         'leaving targets: reports decide',
         [
             (
-                'targets.py',
+                'views.py',
                 'and self.report.state in {ReportState.ACTIVE, ReportState.UNKNOWN}',
                 'and True',
             ),
@@ -233,7 +233,7 @@
     ),
     Ablation(
         'leaving targets: the list of hosts is heeded',
-        [('targets.py', '            and not self.is_listed_leaving\n', '')],
+        [('views.py', '            and not self.is_listed_leaving\n', '')],
         LIFE + 'test_target_listed_as_leaving_gets_no_new_work',
     ),
     Ablation(
