--- /dev/null
+++ b/jacinthfold/catalogue/__init__.py
@@ -0,0 +1,1 @@
+"""Know the deployment: its routes, services, targets and entry hosts."""
--- /dev/null
+++ b/jacinthfold/catalogue/follower.py
@@ -0,0 +1,157 @@
+"""Follow the metadata store, and stay registered in it."""
+
+import asyncio
+import json
+import random
+
+from jacinthfold import logs
+from jacinthfold.catalogue.metadata import (
+    LeaseLostError,
+    MetadataError,
+    MetadataHistoryLostError,
+    MetadataStore,
+)
+from jacinthfold.catalogue.model import HostRecord
+from jacinthfold.catalogue.records import Catalogue
+from jacinthfold.clock import Clock
+
+# How long one watch waits; a silent connection is noticed after this and the
+# store's own timeout. Each ended watch is a priced call.
+WATCH_SECONDS = 4.0
+# Changes come in clusters; one call then fetches several. Drained targets
+# must be obeyed within 3 s, so half a second is well inside.
+GATHER_SECONDS = 0.5
+RETRY_SECONDS = (0.2, 0.5)
+# A host that is killed vanishes from the list within this time.
+LEASE_SECONDS = 4.0
+RENEW_SECONDS = 1.3
+
+
+class Follower:
+    """Keep a catalogue up to date."""
+
+    def __init__(
+        self, store: MetadataStore, catalogue: Catalogue, clock: Clock
+    ) -> None:
+        """Take where to read and what to keep up to date."""
+        self._store = store
+        self._catalogue = catalogue
+        self._clock = clock
+        self._is_listed = False
+        self.heard_at = -1.0
+        self.is_reached = False
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            try:
+                await self._step()
+            except MetadataHistoryLostError:
+                logs.warning(
+                    'store_history_lost', since=self._catalogue.revision
+                )
+                self._is_listed = False
+            except MetadataError as error:
+                self._note_lost(error)
+                await asyncio.sleep(random.uniform(*RETRY_SECONDS))
+
+    async def _step(self) -> None:
+        if not self._is_listed:
+            records, revision = await self._store.list_all()
+            self._catalogue.replace(records, revision)
+            self._is_listed = True
+            self._note_reached()
+            return
+        since = self._catalogue.revision
+        changes, revision = await self._store.changes_since(
+            since, WATCH_SECONDS
+        )
+        self._note_reached()
+        self._catalogue.apply(changes, revision)
+        if changes:
+            await asyncio.sleep(GATHER_SECONDS)
+
+    def _note_reached(self) -> None:
+        self.heard_at = self._clock.monotonic()
+        if not self.is_reached:
+            self.is_reached = True
+            logs.event('store_reached', revision=self._catalogue.revision)
+
+    def _note_lost(self, error: MetadataError) -> None:
+        if self.is_reached:
+            self.is_reached = False
+            logs.warning(
+                'store_lost',
+                reason=str(error),
+                revision=self._catalogue.revision,
+            )
+
+
+class Registration:
+    """Keep this host's record in the store, under a lease."""
+
+    def __init__(self, store: MetadataStore, own: HostRecord) -> None:
+        """Take the record to keep there."""
+        self._store = store
+        self._own = own
+        self._lease = 0
+
+    async def run(self) -> None:
+        """Stay registered until cancelled."""
+        while True:
+            try:
+                await self._step()
+            except LeaseLostError:
+                logs.warning('registration_lost', lease=self._lease)
+                self._lease = 0
+                continue
+            except MetadataError as error:
+                logs.warning('registration_failed', reason=str(error))
+            await asyncio.sleep(random.uniform(0.8, 1.0) * RENEW_SECONDS)
+
+    async def leave(self) -> None:
+        """End the registration; the lease ends by itself if that fails."""
+        if not self._lease:
+            return
+        try:
+            await self._store.end_lease(self._lease)
+        except MetadataError as error:
+            logs.warning('registration_not_ended', reason=str(error))
+
+    async def _step(self) -> None:
+        if self._lease:
+            await self._store.renew_lease(self._lease)
+            return
+        lease = await self._store.grant_lease(LEASE_SECONDS)
+        await self._store.write_host(
+            self._own.name, encode_host(self._own), lease
+        )
+        self._lease = lease
+
+
+def encode_host(host: HostRecord) -> bytes:
+    """Return a host's record as bytes."""
+    return json.dumps(
+        {
+            'name': host.name,
+            'incarnation': host.incarnation,
+            'region': host.region,
+            'data_centre': host.data_centre,
+            'address': host.address,
+            'ports': [host.caller_port, host.relay_port, host.control_port],
+        },
+        separators=(',', ':'),
+    ).encode()
+
+
+def decode_host(content: bytes) -> HostRecord:
+    """Return the host in a record; raise ValueError."""
+    document = json.loads(content)
+    caller_port, relay_port, control_port = document['ports']
+    return HostRecord(
+        document['name'],
+        document['incarnation'],
+        (document['region'], document['data_centre']),
+        document['address'],
+        (caller_port, relay_port, control_port),
+    )
--- /dev/null
+++ b/jacinthfold/catalogue/metadata.py
@@ -0,0 +1,45 @@
+"""Say what the gateway needs of a metadata store."""
+
+from collections.abc import Iterable
+from typing import Protocol
+
+from jacinthfold.catalogue.records import Record
+
+
+class MetadataError(Exception):
+    """Report a call to the metadata store that gave no usable answer."""
+
+
+class MetadataHistoryLostError(MetadataError):
+    """Report that changes since a revision are no longer kept."""
+
+
+class LeaseLostError(MetadataError):
+    """Report that a lease has ended."""
+
+
+class MetadataStore(Protocol):
+    """List, follow and write records."""
+
+    async def list_all(self) -> tuple[list[Record], int]:
+        """Return all records of interest and a revision not above them."""
+
+    async def changes_since(
+        self, revision: int, wait_seconds: float
+    ) -> tuple[list[Record], int]:
+        """Return changes after a revision, waiting for the first one."""
+
+    async def grant_lease(self, seconds: float) -> int:
+        """Return a new lease that ends unless it is renewed."""
+
+    async def renew_lease(self, lease: int) -> None:
+        """Renew a lease; raise LeaseLostError when it has ended."""
+
+    async def end_lease(self, lease: int) -> None:
+        """End a lease and remove what was written under it."""
+
+    async def write_host(self, name: str, content: bytes, lease: int) -> None:
+        """Write an entry host's record, whatever stood there before."""
+
+
+Records = Iterable[Record]
--- /dev/null
+++ b/jacinthfold/catalogue/model.py
@@ -0,0 +1,231 @@
+"""Describe a deployment in types that say what they hold."""
+
+import hashlib
+from collections.abc import Mapping
+from enum import Enum
+
+
+class Repetition(Enum):
+    """Say what may be repeated of a route's requests."""
+
+    NEVER = 'never'
+    WHOLE = 'whole'
+    RESUMED = 'resumed'
+
+
+class Route:
+    """Hold what the operator declared for one prefix of one host name."""
+
+    __slots__ = (
+        'aim_seconds',
+        'gap_aim_seconds',
+        'home_regions',
+        'host_name',
+        'is_stream',
+        'max_attempts',
+        'name',
+        'prefix',
+        'priority',
+        'repetition',
+        'services',
+        'timeout_seconds',
+    )
+
+    def __init__(
+        self,
+        name: str,
+        host_name: str,
+        prefix: str,
+        services: tuple[tuple[str, float], ...],
+    ) -> None:
+        """Take where the route is found and its services with weights."""
+        self.name = name
+        self.host_name = host_name
+        self.prefix = prefix
+        self.services = services
+        self.is_stream = False
+        self.repetition = Repetition.NEVER
+        self.timeout_seconds = 30.0
+        self.aim_seconds = 1.0
+        self.gap_aim_seconds = 0.0
+        self.priority = 0
+        self.max_attempts = 1
+        self.home_regions: frozenset[str] = frozenset()
+
+    def allows(self, region: str) -> bool:
+        """Tell whether a region may serve the route's requests."""
+        return not self.home_regions or region in self.home_regions
+
+    def service_for(self, request_id: str) -> str:
+        """Return the service of a request, the same on every host."""
+        if len(self.services) == 1:
+            return self.services[0][0]
+        total = sum(weight for _, weight in self.services)
+        digest = hashlib.blake2b(request_id.encode(), digest_size=8).digest()
+        point = int.from_bytes(digest, 'big') / (1 << 64) * total
+        for name, weight in self.services:
+            point -= weight
+            if point < 0:
+                return name
+        return self.services[-1][0]
+
+
+class Service:
+    """Hold what the operator declared for a group of equal targets."""
+
+    __slots__ = (
+        'cold_requests_per_second',
+        'cold_seconds',
+        'connection_limit',
+        'memory_tokens',
+        'name',
+        'slots',
+    )
+
+    def __init__(self, name: str) -> None:
+        """Take the name; the rest has defaults of a plain service."""
+        self.name = name
+        self.connection_limit = 0
+        self.cold_seconds = 0.0
+        self.cold_requests_per_second = 0.0
+        # Both are 0 where the service runs no model.
+        self.slots = 0
+        self.memory_tokens = 0
+
+    @property
+    def is_engine(self) -> bool:
+        """Tell whether the targets run a model on prompts."""
+        return self.memory_tokens > 0
+
+
+class CallerLimits:
+    """Hold what a caller may send and how long it may take."""
+
+    __slots__ = (
+        'body_bytes',
+        'head_bytes',
+        'head_timeout_seconds',
+        'idle_timeout_seconds',
+    )
+
+    def __init__(
+        self,
+        head_bytes: int = 16384,
+        body_bytes: int = 4194304,
+        head_timeout_seconds: float = 5.0,
+        idle_timeout_seconds: float = 30.0,
+    ) -> None:
+        """Take the limits; the defaults hold before any configuration."""
+        self.head_bytes = head_bytes
+        self.body_bytes = body_bytes
+        self.head_timeout_seconds = head_timeout_seconds
+        self.idle_timeout_seconds = idle_timeout_seconds
+
+
+class RouteTable:
+    """Hold one version of the operator's configuration."""
+
+    __slots__ = ('_by_host', 'limits', 'routes', 'services', 'version')
+
+    def __init__(
+        self,
+        version: int,
+        routes: tuple[Route, ...],
+        services: Mapping[str, Service],
+        limits: CallerLimits,
+    ) -> None:
+        """Take the parts and index the routes by host name."""
+        self.version = version
+        self.routes = routes
+        self.services = dict(services)
+        self.limits = limits
+        self._by_host: dict[str, list[Route]] = {}
+        for route in sorted(routes, key=_longest_first):
+            self._by_host.setdefault(route.host_name, []).append(route)
+
+    def find(self, host_name: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of a path."""
+        for route in self._by_host.get(host_name, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def homes_of(self, host_name: str) -> frozenset[str] | None:
+        """Return regions that every homed route of a host name allows."""
+        homed = [
+            route.home_regions
+            for route in self._by_host.get(host_name, ())
+            if route.home_regions
+        ]
+        if not homed:
+            return None
+        return frozenset.intersection(*homed)
+
+
+class TargetRecord:
+    """Hold what a target tells of itself."""
+
+    __slots__ = (
+        'address',
+        'cold_seconds',
+        'data_centre',
+        'instance',
+        'is_draining',
+        'remaining_seconds',
+        'service',
+        'slots',
+    )
+
+    def __init__(
+        self,
+        instance: str,
+        service: str,
+        address: tuple[str, int],
+        data_centre: str,
+    ) -> None:
+        """Take the identity of one life of a target, and where it is."""
+        self.instance = instance
+        self.service = service
+        self.address = address
+        self.data_centre = data_centre
+        self.slots = 1
+        self.is_draining = False
+        self.cold_seconds = 0.0
+        self.remaining_seconds: float | None = None
+
+
+class HostRecord:
+    """Hold how an entry host is reached."""
+
+    __slots__ = (
+        'address',
+        'caller_port',
+        'control_port',
+        'data_centre',
+        'incarnation',
+        'name',
+        'region',
+        'relay_port',
+    )
+
+    def __init__(
+        self,
+        name: str,
+        incarnation: int,
+        place: tuple[str, str],
+        address: str,
+        ports: tuple[int, int, int],
+    ) -> None:
+        """Take (region, data centre) and (caller, relay, control) ports."""
+        self.name = name
+        self.incarnation = incarnation
+        self.region = place[0]
+        self.data_centre = place[1]
+        self.address = address
+        self.caller_port = ports[0]
+        self.relay_port = ports[1]
+        self.control_port = ports[2]
+
+
+def _longest_first(route: Route) -> int:
+    return -len(route.prefix)
--- /dev/null
+++ b/jacinthfold/catalogue/records.py
@@ -0,0 +1,199 @@
+"""Keep the store's records as this host knows them."""
+
+from collections.abc import Callable, Iterable, Mapping
+from enum import Enum
+from typing import Any, Protocol
+
+from jacinthfold import logs
+from jacinthfold.catalogue.model import HostRecord, RouteTable, TargetRecord
+from jacinthfold.clock import Clock
+
+
+class Record:
+    """Hold one item of the store; no content means it was removed."""
+
+    __slots__ = ('content', 'key', 'revision')
+
+    def __init__(self, key: str, revision: int, content: bytes | None) -> None:
+        """Take the key, the revision of the last change and the bytes."""
+        self.key = key
+        self.revision = revision
+        self.content = content
+
+
+class Kind(Enum):
+    """Say what a record is about."""
+
+    ROUTES = 'routes'
+    TARGET = 'target'
+    EVACUATION = 'evacuation'
+    HOST = 'host'
+    OTHER = 'other'
+
+
+class RecordReader(Protocol):
+    """Turn records into types; raise ValueError for what makes no sense."""
+
+    def kind_of(self, key: str) -> tuple[Kind, str]:
+        """Return what a key is about and the name within that kind."""
+
+    def read_routes(self, content: bytes) -> RouteTable:
+        """Return the operator's configuration."""
+
+    def read_target(self, name: str, content: bytes) -> TargetRecord:
+        """Return what a target tells of itself."""
+
+
+class CatalogueListener(Protocol):
+    """Hear of changes, in the order of the store's revisions."""
+
+    def on_routes(self, table: RouteTable) -> None:
+        """Take a newer configuration."""
+
+    def on_target(self, record: TargetRecord) -> None:
+        """Take a target that came or changed."""
+
+    def on_target_removed(self, instance: str) -> None:
+        """Take that a target's record is gone."""
+
+    def on_evacuation(self, data_centre: str, is_evacuated: bool) -> None:
+        """Take that a data centre is evacuated or taken back."""
+
+    def on_host(self, record: HostRecord | None, name: str) -> None:
+        """Take an entry host's record, or that it is gone."""
+
+
+class Catalogue:
+    """Hold records by key and tell a listener what changes."""
+
+    def __init__(
+        self,
+        reader: RecordReader,
+        read_host: Callable[[bytes], HostRecord],
+        clock: Clock,
+    ) -> None:
+        """Take the reader of records; nothing is known yet."""
+        self._reader = reader
+        self._read_host = read_host
+        self._clock = clock
+        self._records: dict[str, Record] = {}
+        self._listeners: list[CatalogueListener] = []
+        self.revision = 0
+        self.changed_at = clock.monotonic()
+        self.routes: RouteTable | None = None
+        self.evacuated: frozenset[str] = frozenset()
+
+    def subscribe(self, listener: CatalogueListener) -> None:
+        """Tell a listener of each change from now on."""
+        self._listeners.append(listener)
+
+    def records(self) -> list[Record]:
+        """Return every record that is known."""
+        return list(self._records.values())
+
+    def apply(self, records: Iterable[Record], revision: int) -> None:
+        """Take changes up to a revision of the store."""
+        for record in sorted(records, key=_by_revision):
+            self._apply_one(record)
+        self._advance(revision)
+
+    def replace(self, records: Iterable[Record], revision: int) -> None:
+        """Take a whole list, read no earlier than the revision says."""
+        # A list older than what is known would bring back removed records:
+        # requests would go to targets that left.
+        if revision < self.revision:
+            return
+        listed = list(records)
+        kept = {record.key for record in listed}
+        for key, known in list(self._records.items()):
+            if key not in kept and known.revision <= revision:
+                self._apply_one(Record(key, revision, None))
+        self.apply(listed, revision)
+
+    def _advance(self, revision: int) -> None:
+        if revision > self.revision:
+            self.revision = revision
+            self.changed_at = self._clock.monotonic()
+
+    def _apply_one(self, record: Record) -> None:
+        known = self._records.get(record.key)
+        if known is not None and known.revision >= record.revision:
+            return
+        if record.content is None:
+            if known is None:
+                return
+            self._records.pop(record.key)
+        else:
+            self._records[record.key] = record
+        try:
+            self._announce(record)
+        except (ValueError, KeyError, TypeError) as error:
+            logs.error(
+                'record_unreadable',
+                key=record.key,
+                revision=record.revision,
+                reason=repr(error),
+            )
+
+    def _announce(self, record: Record) -> None:
+        kind, name = self._reader.kind_of(record.key)
+        announce: Mapping[Kind, Any] = {
+            Kind.ROUTES: self._announce_routes,
+            Kind.TARGET: self._announce_target,
+            Kind.EVACUATION: self._announce_evacuation,
+            Kind.HOST: self._announce_host,
+        }
+        if kind in announce:
+            announce[kind](name, record)
+
+    def _announce_routes(self, _name: str, record: Record) -> None:
+        if record.content is None:
+            return
+        table = self._reader.read_routes(record.content)
+        # A version that falls back would undo what callers already saw.
+        if self.routes is not None and table.version <= self.routes.version:
+            return
+        self.routes = table
+        logs.event(
+            'routes_in_force',
+            version=table.version,
+            revision=record.revision,
+            routes=len(table.routes),
+        )
+        for listener in self._listeners:
+            listener.on_routes(table)
+
+    def _announce_target(self, name: str, record: Record) -> None:
+        if record.content is None:
+            for listener in self._listeners:
+                listener.on_target_removed(name)
+            return
+        target = self._reader.read_target(name, record.content)
+        for listener in self._listeners:
+            listener.on_target(target)
+
+    def _announce_evacuation(self, name: str, record: Record) -> None:
+        is_evacuated = record.content is not None
+        if is_evacuated:
+            self.evacuated |= {name}
+        else:
+            self.evacuated -= {name}
+        logs.event(
+            'evacuation',
+            data_centre=name,
+            is_evacuated=is_evacuated,
+            revision=record.revision,
+        )
+        for listener in self._listeners:
+            listener.on_evacuation(name, is_evacuated)
+
+    def _announce_host(self, name: str, record: Record) -> None:
+        host = None
+        if record.content is not None:
+            host = self._read_host(record.content)
+        for listener in self._listeners:
+            listener.on_host(host, name)
+
+
+def _by_revision(record: Record) -> int:
+    return record.revision
--- a/jacinthfold/cli.py
+++ b/jacinthfold/cli.py
@@ -210,6 +210,22 @@
     return function
 
 
+@program.command('gateway')
+@click.option(
+    '--settings',
+    'path',
+    type=PATH_TYPE,
+    envvar='JACINTHFOLD_BOOT',
+    required=True,
+    help='INI file; see docs/SETTINGS.md.',
+)
+def gateway(path: Path) -> None:
+    """Run an entry host that follows a metadata store."""
+    from jacinthfold.platform import program as platform_program
+
+    platform_program.run(path)
+
+
 @standin.command('platform')
 @_standin_options
 @click.option('--writes-per-second', default=300, help='Rate of writes.')
--- a/jacinthfold/config.py
+++ b/jacinthfold/config.py
@@ -75,7 +75,7 @@
     faults = _unknown(parser)
     sections = {}
     for name, options in OPTIONS.items():
-        sections[name] = Section(_read_section(parser, name, options, faults))
+        sections[name] = Section(read_section(parser, name, options, faults))
     if not faults:
         faults.extend(_cross_checks(sections))
     if faults:
@@ -111,7 +111,7 @@
     return faults
 
 
-def _read_section(
+def read_section(
     parser: configparser.ConfigParser,
     name: str,
     options: dict[str, Option],
--- /dev/null
+++ b/jacinthfold/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Know the other entry hosts and tell callers about them."""
--- /dev/null
+++ b/jacinthfold/fleet/directory.py
@@ -0,0 +1,51 @@
+"""Tell callers which entry hosts to use."""
+
+import random
+
+from jacinthfold.catalogue.model import HostRecord
+from jacinthfold.catalogue.records import Catalogue
+from jacinthfold.fleet.table import HostTable
+
+ADDRESS_LIMIT = 64
+# One host of the nearest data centre is a single point; with two or more the
+# caller stays near, which spares traffic between data centres.
+NEAR_AT_LEAST = 2
+# Callers ask again after this. Longer answers name hosts that left for longer.
+ANSWER_SECONDS = 2
+
+
+class Directory:
+    """Choose entry hosts for callers."""
+
+    def __init__(
+        self, hosts: HostTable, catalogue: Catalogue, source: random.Random
+    ) -> None:
+        """Take the hosts and what is known of routes."""
+        self._hosts = hosts
+        self._catalogue = catalogue
+        self._random = source
+
+    def resolve(
+        self, host_name: str, region: str, data_centre: str
+    ) -> list[HostRecord]:
+        """Return hosts for a caller, none if none is known to serve."""
+        near = self._hosts.serving(region)
+        same = [one for one in near if one.data_centre == data_centre]
+        chosen = same if len(same) >= NEAR_AT_LEAST else near
+        if not chosen:
+            chosen = self._far(host_name)
+        self._random.shuffle(chosen)
+        return chosen[:ADDRESS_LIMIT]
+
+    def _far(self, host_name: str) -> list[HostRecord]:
+        allowed = None
+        if self._catalogue.routes is not None:
+            allowed = self._catalogue.routes.homes_of(host_name)
+        everywhere = sorted(self._hosts.regions())
+        found = [
+            host
+            for region in everywhere
+            if allowed is None or region in allowed
+            for host in self._hosts.serving(region)
+        ]
+        return found
--- /dev/null
+++ b/jacinthfold/fleet/heartbeats.py
@@ -0,0 +1,173 @@
+"""Send heartbeats to the other entry hosts and take in theirs.
+
+Datagrams of JSON, not gRPC: a call of pure-Python HTTP/2 costs hundreds of
+microseconds, a datagram tens, and a heartbeat that is lost is replaced by the
+next one a moment later.
+"""
+
+import asyncio
+import json
+from typing import Any, Protocol, cast
+
+from jacinthfold import logs
+from jacinthfold.catalogue.follower import decode_host, encode_host
+from jacinthfold.catalogue.records import Catalogue
+from jacinthfold.clock import Clock
+from jacinthfold.fleet.table import HostState, HostTable
+from jacinthfold.placement.regions import RegionReport, RegionView
+from jacinthfold.placement.targets import Load, TargetTable
+
+BEAT_SECONDS = 0.2
+# Other regions hear every third beat: bytes between regions are dear.
+REMOTE_EVERY_BEATS = 3
+DATAGRAM_LIMIT_BYTES = 60000
+
+Place = tuple[str, int]
+
+
+class RoomSource(Protocol):
+    """Say what room this region has."""
+
+    def room(self, service: str) -> float | None:
+        """Return the least wait in seconds, None where nothing serves."""
+
+
+class Heartbeats(asyncio.DatagramProtocol):
+    """Exchange heartbeats by datagrams."""
+
+    def __init__(
+        self,
+        hosts: HostTable,
+        catalogue: Catalogue,
+        targets: TargetTable,
+        regions: RegionView,
+        room_source: RoomSource,
+        clock: Clock,
+    ) -> None:
+        """Take what heartbeats tell of and what they change."""
+        self._hosts = hosts
+        self._catalogue = catalogue
+        self._targets = targets
+        self._regions = regions
+        self._room_source = room_source
+        self._clock = clock
+        self._transport: asyncio.DatagramTransport | None = None
+        self._own = json.loads(encode_host(hosts.own))
+        self._count = 0
+        self.seeds: tuple[Place, ...] = ()
+
+    async def start(self) -> None:
+        """Bind the socket; raise OSError when the port is taken."""
+        own = self._hosts.own
+        await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: self, local_addr=(own.address, own.relay_port)
+        )
+
+    async def run(self) -> None:
+        """Send heartbeats until cancelled."""
+        while True:
+            self.beat()
+            await asyncio.sleep(BEAT_SECONDS)
+
+    def beat(self) -> None:
+        """Send one heartbeat to each host that is due."""
+        self._count += 1
+        is_remote_due = self._count % REMOTE_EVERY_BEATS == 0
+        content = self._message()
+        for place in self._places(is_remote_due=is_remote_due):
+            self._send(content, place)
+
+    def announce(self) -> None:
+        """Tell every host at once what this one is doing now."""
+        content = self._message()
+        for place in self._places(is_remote_due=True):
+            self._send(content, place)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the socket."""
+        # The selector loop's transport is a datagram transport by what it
+        # does, not by its class.
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, content: bytes, addr: Any) -> None:
+        """Take a heartbeat."""
+        try:
+            self._take(json.loads(content))
+        except (ValueError, KeyError, TypeError) as error:
+            logs.warning('heartbeat_unreadable', peer=addr, reason=repr(error))
+
+    def error_received(self, exc: Exception) -> None:
+        """Take that a datagram met no listener; the table shows it too."""
+        logs.warning('heartbeat_not_sent', reason=repr(exc))
+
+    def _places(self, *, is_remote_due: bool) -> list[Place]:
+        own = self._hosts.own
+        entries = self._hosts.others()
+        places = [
+            (entry.record.address, entry.record.relay_port)
+            for entry in entries
+            if is_remote_due or entry.record.region == own.region
+        ]
+        if not entries:
+            # Ports are the same on all hosts of a deployment.
+            places = [
+                (address, own.relay_port)
+                for address, _ in self.seeds
+                if address != own.address
+            ]
+        return places
+
+    def _send(self, content: bytes, place: Place) -> None:
+        if self._transport is not None and len(content) < DATAGRAM_LIMIT_BYTES:
+            self._transport.sendto(content, place)
+
+    def _message(self) -> bytes:
+        loads = {
+            instance: [load.requests, load.unread_tokens, load.held_tokens]
+            for instance, load in self._targets.own_loads().items()
+        }
+        return json.dumps(
+            {
+                'host': self._own,
+                'state': self._hosts.own_state.value,
+                'revision': self._catalogue.revision,
+                'loads': loads,
+                'rooms': self._rooms(),
+            },
+            separators=(',', ':'),
+        ).encode()
+
+    def _rooms(self) -> dict[str, list[float]]:
+        if self._catalogue.routes is None:
+            return {}
+        region = self._hosts.own.region
+        rooms = {}
+        for service in self._catalogue.routes.services:
+            wait = self._room_source.room(service)
+            if wait is not None:
+                count = len(self._targets.of(service, region))
+                rooms[service] = [round(wait, 3), count]
+        return rooms
+
+    def _take(self, message: dict[str, Any]) -> None:
+        host = decode_host(json.dumps(message['host']).encode())
+        if host.name == self._hosts.own.name:
+            return
+        state = HostState(message['state'])
+        self._hosts.note_heartbeat(host, state, message['revision'])
+        now = self._clock.monotonic()
+        rooms = message['rooms']
+        if state is HostState.ACTIVE:
+            report = RegionReport(
+                host.region,
+                now,
+                {service: room[0] for service, room in rooms.items()},
+                {service: room[1] for service, room in rooms.items()},
+            )
+            self._regions.take(host.name, report)
+        if host.region == self._hosts.own.region:
+            loads = {
+                instance: Load(*figures)
+                for instance, figures in message['loads'].items()
+            }
+            self._targets.take_report(host.name, loads, now)
--- /dev/null
+++ b/jacinthfold/gateway/adapter.py
@@ -0,0 +1,43 @@
+"""Say what an entry host needs translated by its surroundings."""
+
+from collections.abc import Iterable
+from typing import Protocol
+
+from jacinthfold.catalogue.metadata import MetadataStore
+from jacinthfold.catalogue.model import HostRecord
+from jacinthfold.catalogue.records import RecordReader
+from jacinthfold.proxy.dialect import Dialect
+
+
+class HostCalls(Protocol):
+    """Read and write the calls that callers make beside requests."""
+
+    def is_ready_call(self, target: str) -> bool:
+        """Tell whether a call asks if this host is ready."""
+
+    def read_directory_call(self, target: str) -> tuple[str, str, str] | None:
+        """Return host name, region and data centre asked for, or None."""
+
+    def write_directory_answer(
+        self, hosts: Iterable[HostRecord], seconds: int
+    ) -> bytes:
+        """Return the body that names entry hosts to a caller."""
+
+
+class Adapter:
+    """Hold what translates between this product and its surroundings."""
+
+    __slots__ = ('calls', 'dialect', 'reader', 'store')
+
+    def __init__(
+        self,
+        store: MetadataStore,
+        reader: RecordReader,
+        dialect: Dialect,
+        calls: HostCalls,
+    ) -> None:
+        """Take the translators."""
+        self.store = store
+        self.reader = reader
+        self.dialect = dialect
+        self.calls = calls
--- /dev/null
+++ b/jacinthfold/gateway/handlers.py
@@ -0,0 +1,225 @@
+"""Serve the listeners of an entry host."""
+
+import json
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Any
+
+from jacinthfold import logs
+from jacinthfold.catalogue.records import Catalogue
+from jacinthfold.clock import Clock
+from jacinthfold.fleet.directory import ANSWER_SECONDS, Directory
+from jacinthfold.fleet.snapshots import SNAPSHOT_PATH, encode_snapshot
+from jacinthfold.gateway.adapter import HostCalls
+from jacinthfold.gateway.leaving import Leaving
+from jacinthfold.metrics import Metrics
+from jacinthfold.proxy import relay_header
+from jacinthfold.proxy.dialect import Dialect
+from jacinthfold.proxy.forwarding import Forwarder
+from jacinthfold.proxy.listener import CallerAnswer, RawRequest
+from jacinthfold.proxy.messages import Headers, Request
+
+JSON_HEADERS: Headers = [(b'Content-Type', b'application/json')]
+TEXT_HEADERS: Headers = [(b'Content-Type', b'text/plain; version=0.0.4')]
+# A host that knows no routes yet asks peers and the store several times in
+# this long.
+NOT_READY_SECONDS = 0.5
+# Another host can serve at once; this one is about to stop.
+OTHER_HOST_SECONDS = 0.05
+
+
+class CallerHandler:
+    """Serve callers' requests by the routes in force."""
+
+    def __init__(
+        self,
+        catalogue: Catalogue,
+        forwarder: Forwarder,
+        dialect: Dialect,
+        leaving: Leaving,
+        clock: Clock,
+    ) -> None:
+        """Take the routes and who serves."""
+        self._leaving = leaving
+        self._catalogue = catalogue
+        self._forwarder = forwarder
+        self._dialect = dialect
+        self._clock = clock
+
+    async def handle(self, request: RawRequest, answer: CallerAnswer) -> None:
+        """Find a request's route and have it served."""
+        now = self._clock.monotonic()
+        headers = relay_header.without_internal(request.headers)
+        try:
+            facts = self._dialect.read_request(headers)
+        except ValueError as error:
+            logs.warning('request_malformed', status=400, reason=str(error))
+            await answer.whole(HTTPStatus.BAD_REQUEST, [], b'')
+            return
+        work = Request(
+            request.method, request.target, headers, request.body, facts
+        )
+        work.received_at = now
+        own = self._dialect.own_headers(facts.request_id)
+        table = self._catalogue.routes
+        if table is None:
+            self._log_unrouted(work, HTTPStatus.SERVICE_UNAVAILABLE, 0)
+            retry = self._dialect.retry_headers(NOT_READY_SECONDS)
+            await answer.whole(
+                HTTPStatus.SERVICE_UNAVAILABLE, [*own, *retry], b''
+            )
+            return
+        route = table.find(facts.host_name, work.path)
+        if route is None:
+            self._log_unrouted(work, HTTPStatus.NOT_FOUND, table.version)
+            await answer.whole(HTTPStatus.NOT_FOUND, own, b'')
+            return
+        work.route = route
+        work.service_name = route.service_for(facts.request_id)
+        patience = route.timeout_seconds
+        if facts.patience_seconds is not None:
+            patience = min(patience, facts.patience_seconds)
+        work.deadline = now + patience
+        if not self._leaving.may_take(work):
+            await _refuse_leaving(work, self._dialect, answer)
+            return
+        await self._forwarder.serve(work, answer)
+
+    def _log_unrouted(self, work: Request, status: int, version: int) -> None:
+        logs.event(
+            'request_unrouted',
+            request=work.facts.request_id,
+            host_name=work.facts.host_name,
+            path=work.path,
+            status=int(status),
+            version=version,
+        )
+
+
+class RelayHandler:
+    """Serve requests that entry hosts of other regions passed on."""
+
+    def __init__(
+        self,
+        forwarder: Forwarder,
+        dialect: Dialect,
+        leaving: Leaving,
+        clock: Clock,
+    ) -> None:
+        """Take who serves."""
+        self._leaving = leaving
+        self._forwarder = forwarder
+        self._dialect = dialect
+        self._clock = clock
+
+    async def handle(self, request: RawRequest, answer: CallerAnswer) -> None:
+        """Serve a request under the route that came with it."""
+        try:
+            facts = self._dialect.read_request(request.headers)
+            work = Request(
+                request.method,
+                request.target,
+                request.headers,
+                request.body,
+                facts,
+            )
+            relay_header.read(work, self._clock.monotonic())
+        except (ValueError, KeyError) as error:
+            logs.warning('relay_malformed', reason=repr(error))
+            await answer.whole(HTTPStatus.BAD_REQUEST, [], b'')
+            return
+        work.headers = relay_header.without_internal(work.headers)
+        if not self._leaving.may_take(work):
+            await _refuse_leaving(work, self._dialect, answer)
+            return
+        await self._forwarder.serve(work, answer)
+
+
+class ReadyHandler:
+    """Tell whether this host takes callers."""
+
+    def __init__(self, calls: HostCalls, is_ready: Callable[[], bool]) -> None:
+        """Take how the call looks and who knows."""
+        self._calls = calls
+        self._is_ready = is_ready
+
+    async def handle(self, request: RawRequest, answer: CallerAnswer) -> None:
+        """Answer 200 or 503."""
+        status = HTTPStatus.NOT_FOUND
+        if self._calls.is_ready_call(request.target.decode('latin-1')):
+            status = HTTPStatus.SERVICE_UNAVAILABLE
+            if self._is_ready():
+                status = HTTPStatus.OK
+        await answer.whole(status, [], b'')
+
+
+class DirectoryHandler:
+    """Tell callers where to connect."""
+
+    def __init__(self, calls: HostCalls, directory: Directory) -> None:
+        """Take how the call looks and who chooses."""
+        self._calls = calls
+        self._directory = directory
+
+    async def handle(self, request: RawRequest, answer: CallerAnswer) -> None:
+        """Name entry hosts, or 503 when none is known to serve."""
+        asked = self._calls.read_directory_call(
+            request.target.decode('latin-1')
+        )
+        if asked is None:
+            await answer.whole(HTTPStatus.NOT_FOUND, [], b'')
+            return
+        hosts = self._directory.resolve(*asked)
+        if not hosts:
+            await answer.whole(HTTPStatus.SERVICE_UNAVAILABLE, [], b'')
+            return
+        body = self._calls.write_directory_answer(hosts, ANSWER_SECONDS)
+        await answer.whole(HTTPStatus.OK, JSON_HEADERS, body)
+
+
+class ControlHandler:
+    """Give snapshots to entry hosts and the state to operators."""
+
+    def __init__(
+        self, catalogue: Catalogue, dump: Callable[[], dict[str, Any]]
+    ) -> None:
+        """Take what is told."""
+        self._catalogue = catalogue
+        self._dump = dump
+
+    async def handle(self, request: RawRequest, answer: CallerAnswer) -> None:
+        """Answer a snapshot or the state."""
+        path = request.target.decode('latin-1')
+        if path == SNAPSHOT_PATH:
+            body = encode_snapshot(self._catalogue)
+        elif path == '/state':
+            body = json.dumps(self._dump(), indent=1).encode()
+        else:
+            await answer.whole(HTTPStatus.NOT_FOUND, [], b'')
+            return
+        await answer.whole(HTTPStatus.OK, JSON_HEADERS, body)
+
+
+class MetricsHandler:
+    """Show counters and histograms."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        """Take the metrics."""
+        self._metrics = metrics
+
+    async def handle(self, request: RawRequest, answer: CallerAnswer) -> None:
+        """Answer with all metrics as text."""
+        await answer.whole(
+            HTTPStatus.OK, TEXT_HEADERS, self._metrics.exposition()
+        )
+
+
+async def _refuse_leaving(
+    work: Request, dialect: Dialect, answer: CallerAnswer
+) -> None:
+    """Send a caller to another host."""
+    logs.event('request_refused_leaving', request=work.facts.request_id)
+    headers = dialect.own_headers(work.facts.request_id)
+    headers += dialect.retry_headers(OTHER_HOST_SECONDS)
+    headers += relay_header.told(relay_header.TOLD_NOT_RUN)
+    await answer.whole(HTTPStatus.SERVICE_UNAVAILABLE, headers, b'')
--- /dev/null
+++ b/jacinthfold/log_writer.py
@@ -0,0 +1,79 @@
+"""Write log lines without ever making the program wait."""
+
+import os
+import queue
+import threading
+import time
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from loguru import Message
+
+# Lines that may wait for the reader of the output; some 1 MB of memory.
+LINE_LIMIT = 4096
+# Ordinary lines are left out once this many wait, so that a reader that
+# stands still costs ordinary lines before it costs warnings.
+ORDINARY_LIMIT = 3072
+# Ordinary lines a second, a few for each request of a busy host.
+ORDINARY_PER_SECOND = 1500
+_WARNING_SEVERITY = 30
+
+
+class BoundedWriter:
+    """Pass lines to a thread that writes them, and count those left out."""
+
+    def __init__(self, descriptor: int) -> None:
+        """Take the file descriptor to write to."""
+        self._descriptor = descriptor
+        self._lines: queue.Queue[bytes] = queue.Queue(LINE_LIMIT)
+        self._window = 0.0
+        self._window_count = 0
+        self.left_out = 0
+        threading.Thread(
+            target=self._write_forever, name='logs', daemon=True
+        ).start()
+
+    def take(self, message: 'Message') -> None:
+        """Queue a line, or leave it out."""
+        is_warning = message.record['level'].no >= _WARNING_SEVERITY
+        if not is_warning and not self._has_room():
+            self.left_out += 1
+            return
+        try:
+            self._lines.put_nowait(str(message).encode())
+        except queue.Full:
+            self.left_out += 1
+
+    def _has_room(self) -> bool:
+        now = time.monotonic()
+        if now - self._window >= 1:
+            self._window = now
+            self._window_count = 0
+        self._window_count += 1
+        return (
+            self._window_count <= ORDINARY_PER_SECOND
+            and self._lines.qsize() < ORDINARY_LIMIT
+        )
+
+    def _write_forever(self) -> None:
+        while True:
+            lines = [self._lines.get()]
+            while not self._lines.empty() and len(lines) < LINE_LIMIT:
+                lines.append(self._lines.get_nowait())
+            if self.left_out:
+                lines.append(
+                    f'event=lines_left_out count={self.left_out}\n'.encode()
+                )
+                self.left_out = 0
+            self._write(b''.join(lines))
+
+    def _write(self, content: bytes) -> None:
+        rest = memoryview(content)
+        while rest:
+            try:
+                rest = rest[os.write(self._descriptor, rest) :]
+            except BlockingIOError:
+                time.sleep(0.05)
+            except OSError:
+                # Nobody reads any more, and there is nowhere to say so.
+                return
--- a/jacinthfold/logs.py
+++ b/jacinthfold/logs.py
@@ -6,6 +6,8 @@
 
 from loguru import logger
 
+from jacinthfold.log_writer import BoundedWriter
+
 if TYPE_CHECKING:
     from loguru import Record
 
@@ -19,6 +21,14 @@
     logger.add(sys.stderr, level=level, format=_format, enqueue=False)
 
 
+def set_up_bounded(level: str, host_name: str) -> None:
+    """Log to standard output; never wait for its reader."""
+    logger.remove()
+    logger.configure(extra={'host': host_name})
+    writer = BoundedWriter(sys.stdout.fileno())
+    logger.add(writer.take, level=level, format=_format, enqueue=False)
+
+
 def event(name: str, **fields: Any) -> None:
     """Log something that happened."""
     logger.bind(**fields).info(name)
--- a/jacinthfold/options.py
+++ b/jacinthfold/options.py
@@ -28,7 +28,7 @@
         self.default = default
 
 
-def _text(value: str) -> str:
+def text(value: str) -> str:
     if not value or not value.isprintable():
         raise ValueError
     return value
@@ -55,7 +55,7 @@
     for entry in value.split():
         address, _, port = entry.rpartition(':')
         seeds.append(
-            (_address(address.strip('[]')), _whole(1, PORT_LIMIT)(port))
+            (_address(address.strip('[]')), whole(1, PORT_LIMIT)(port))
         )
     return tuple(seeds)
 
@@ -69,11 +69,11 @@
     return number
 
 
-def _whole(low: int, high: int) -> Callable[[str], int]:
+def whole(low: int, high: int) -> Callable[[str], int]:
     return partial(_between, int, low, high)
 
 
-def _number(low: float, high: float) -> Callable[[str], float]:
+def number(low: float, high: float) -> Callable[[str], float]:
     return partial(_between, float, low, high)
 
 
@@ -83,13 +83,13 @@
     return text
 
 
-def _choice(*choices: str) -> Callable[[str], str]:
+def choice(*choices: str) -> Callable[[str], str]:
     return partial(_one_of, choices)
 
 
 def _port(help_text: str) -> Option:
     return Option(
-        _whole(1, PORT_LIMIT),
+        whole(1, PORT_LIMIT),
         f'a whole number from 1 to {PORT_LIMIT}',
         help_text,
     )
@@ -100,30 +100,30 @@
     help_text = (
         f'port that reaches {name} from outside, if another; 0: the same'
     )
-    return Option(_whole(0, PORT_LIMIT), allowed, help_text, '0')
+    return Option(whole(0, PORT_LIMIT), allowed, help_text, '0')
 
 
 def _seconds(low: float, high: float, default: str, help_text: str) -> Option:
     allowed = f'seconds from {low:g} to {high:g}'
-    return Option(_number(low, high), allowed, help_text, default)
+    return Option(number(low, high), allowed, help_text, default)
 
 
 def _count(low: int, high: int, default: str, help_text: str) -> Option:
     allowed = f'a whole number from {low} to {high}'
-    return Option(_whole(low, high), allowed, help_text, default)
+    return Option(whole(low, high), allowed, help_text, default)
 
 
 def _ratio(low: float, high: float, default: str, help_text: str) -> Option:
     allowed = f'a number from {low:g} to {high:g}'
-    return Option(_number(low, high), allowed, help_text, default)
+    return Option(number(low, high), allowed, help_text, default)
 
 
 # Every setting, in the order of docs/SETTINGS.md.
 OPTIONS: dict[str, dict[str, Option]] = {
     'host': {
-        'name': Option(_text, 'a text', 'name of this entry host, unique'),
-        'region': Option(_text, 'a text', 'region it stands in'),
-        'data_centre': Option(_text, 'a text', 'data centre it stands in'),
+        'name': Option(text, 'a text', 'name of this entry host, unique'),
+        'region': Option(text, 'a text', 'region it stands in'),
+        'data_centre': Option(text, 'a text', 'data centre it stands in'),
         'address': Option(
             _address, 'an IP number', 'address for all of its listeners'
         ),
@@ -134,7 +134,7 @@
         'advertised_peer_port': _mapped_port('peer_port'),
         'advertised_relay_port': _mapped_port('relay_port'),
         'log_level': Option(
-            _choice('DEBUG', 'INFO', 'WARNING', 'ERROR'),
+            choice('DEBUG', 'INFO', 'WARNING', 'ERROR'),
             'DEBUG, INFO, WARNING or ERROR',
             'least severity that is logged',
             'INFO',
@@ -292,7 +292,7 @@
             0.1, 300, '2', 'time that a failing target stays out'
         ),
         'policy': Option(
-            _choice('weighted', 'round_robin', 'least_requests', 'prefix_hash'),
+            choice('weighted', 'round_robin', 'least_requests', 'prefix_hash'),
             'weighted, round_robin, least_requests or prefix_hash',
             'how targets are chosen; all but the first are for comparison',
             'weighted',
--- /dev/null
+++ b/jacinthfold/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Decide where requests run, without input or output."""
--- /dev/null
+++ b/jacinthfold/placement/budget.py
@@ -0,0 +1,90 @@
+"""Bound how often requests are sent more than once.
+
+The bound holds for all hosts together. Each host may use a share of its own
+requests, which adds up by itself, and a fixed part of the slack.
+"""
+
+from collections import deque
+
+from jacinthfold.clock import Clock
+
+# Kept back of what is allowed: windows slide, and requests that this host
+# counts now may fall out of a window that began a moment ago.
+SHARE_KEPT = 0.75
+# Hosts that the slack is split among when fewer are known: a deployment can
+# grow by its spare hosts without notice.
+HOSTS_AT_LEAST = 14
+HOSTS_GROWTH = 1.25
+
+
+class RetryBudget:
+    """Hold one service's requests and repeats in a sliding window."""
+
+    __slots__ = ('_clock', '_repeats', '_requests', '_window_seconds')
+
+    def __init__(self, window_seconds: float, clock: Clock) -> None:
+        """Take the length of the window."""
+        self._window_seconds = window_seconds
+        self._clock = clock
+        self._requests: deque[float] = deque()
+        self._repeats: deque[float] = deque()
+
+    def note_request(self) -> None:
+        """Count a request's first send."""
+        self._requests.append(self._clock.monotonic())
+
+    def take(self, ratio: float, slack: float) -> bool:
+        """Count a repeat if the window has room for it."""
+        now = self._clock.monotonic()
+        _drop_before(self._requests, now - self._window_seconds)
+        _drop_before(self._repeats, now - self._window_seconds)
+        allowed = SHARE_KEPT * (ratio * len(self._requests) + slack)
+        if len(self._repeats) + 1 > allowed:
+            return False
+        self._repeats.append(now)
+        return True
+
+
+class RetryBudgets:
+    """Hold the budgets of all services."""
+
+    def __init__(
+        self,
+        ratio: float,
+        slack: float,
+        window_seconds: float,
+        clock: Clock,
+    ) -> None:
+        """Take what all hosts together may repeat."""
+        self._ratio = ratio
+        self._slack = slack
+        self._window_seconds = window_seconds
+        self._clock = clock
+        self._budgets: dict[str, RetryBudget] = {}
+        self._host_count = 0
+
+    def follow_hosts(self, count: int) -> None:
+        """Take how many hosts are known; the most ever known counts."""
+        # Hosts that are cut off go on spending their part.
+        self._host_count = max(self._host_count, count)
+
+    def note_request(self, service: str) -> None:
+        """Count a request's first send."""
+        self._of(service).note_request()
+
+    def take(self, service: str) -> bool:
+        """Count a repeat if there is room for it."""
+        hosts = max(HOSTS_AT_LEAST, self._host_count * HOSTS_GROWTH)
+        return self._of(service).take(self._ratio, self._slack / hosts)
+
+    def _of(self, service: str) -> RetryBudget:
+        if service not in self._budgets:
+            self._budgets[service] = RetryBudget(
+                self._window_seconds, self._clock
+            )
+        return self._budgets[service]
+
+
+def _drop_before(times: deque[float], limit: float) -> None:
+    while times and times[0] < limit:
+        times.popleft()
--- /dev/null
+++ b/jacinthfold/placement/choice.py
@@ -0,0 +1,292 @@
+"""Choose where a request runs: a target here, another region, or nowhere."""
+
+import random
+from collections.abc import Collection
+
+from jacinthfold.clock import Clock
+from jacinthfold.hashing import rank
+from jacinthfold.placement import limits
+from jacinthfold.placement.pace import ColdPace
+from jacinthfold.placement.regions import RegionView, RemoteRegion
+from jacinthfold.placement.targets import Target, TargetTable
+from jacinthfold.proxy.messages import Request
+
+_MS_PER_SECOND = 1000.0
+
+
+class Estimate:
+    """Hold when a target's first event is expected, and why."""
+
+    __slots__ = ('cached_tokens', 'seconds', 'target', 'wait_seconds')
+
+    def __init__(
+        self,
+        target: Target,
+        wait_seconds: float,
+        own_seconds: float,
+        cached_tokens: int,
+    ) -> None:
+        """Take the wait for others and the request's own time."""
+        self.target = target
+        self.wait_seconds = wait_seconds
+        self.seconds = wait_seconds + own_seconds
+        self.cached_tokens = cached_tokens
+
+
+class SendTo:
+    """Say that a target here is to run the request."""
+
+    __slots__ = ('estimate',)
+
+    def __init__(self, estimate: Estimate) -> None:
+        """Take the estimate that decided."""
+        self.estimate = estimate
+
+
+class PassTo:
+    """Say that another region is to run the request."""
+
+    __slots__ = ('region',)
+
+    def __init__(self, region: RemoteRegion) -> None:
+        """Take the region and what was believed of it."""
+        self.region = region
+
+
+class Refuse:
+    """Say that the request can't be served in time."""
+
+    __slots__ = ('after_seconds', 'reason')
+
+    def __init__(self, reason: str, after_seconds: float) -> None:
+        """Take why, and when a return may meet room."""
+        self.reason = reason
+        self.after_seconds = after_seconds
+
+
+Choice = SendTo | PassTo | Refuse
+
+# Returns are spread over this time, so that callers that were refused
+# together don't come back together.
+RETURN_SPREAD_SECONDS = 0.8
+RETURN_AT_LEAST_SECONDS = 0.1
+# When no target is usable: cold ones take the next request after 0.3 s.
+NO_TARGET_SECONDS = 0.3
+# Plain calls are short: one that is late by a few aims is still worth more
+# served than sent away.
+PLAIN_LATE_AIMS = 4
+
+
+class Placer:
+    """Choose for requests of one region."""
+
+    def __init__(
+        self,
+        region: str,
+        targets: TargetTable,
+        pace: ColdPace,
+        regions: RegionView,
+        clock: Clock,
+        source: random.Random,
+    ) -> None:
+        """Take what is known of targets here and of other regions."""
+        self._region = region
+        self._targets = targets
+        self._pace = pace
+        self._regions = regions
+        self._clock = clock
+        self._random = source
+
+    def choose(
+        self,
+        request: Request,
+        tried: Collection[str] = (),
+        tried_regions: Collection[str] = (),
+    ) -> Choice:
+        """Return where a request is to run."""
+        best = self._best_here(request, tried)
+        allowed = self._seconds_allowed(request)
+        if best is not None and best.seconds <= allowed:
+            return SendTo(best)
+        remote = self._best_elsewhere(request, tried_regions)
+        if remote is not None and remote.seconds <= allowed:
+            return PassTo(remote)
+        return self._late_choice(request, best, remote)
+
+    def note_sent(self, choice: SendTo, request: Request) -> None:
+        """Take that a request leaves for a target."""
+        target = choice.estimate.target
+        now = self._clock.monotonic()
+        if target.cold_until > now:
+            service = self._targets.service(target.record.service)
+            self._pace.note_sent(target, service.cold_requests_per_second, now)
+        target.remember(request.facts.parts, now)
+
+    def room(self, service: str) -> float | None:
+        """Return the least wait for a service here, None with no target."""
+        now = self._clock.monotonic()
+        waits = [
+            self._wait_seconds(target, now)
+            for target in self._usable(service, (), now)
+        ]
+        return min(waits, default=None)
+
+    def _best_here(
+        self, request: Request, tried: Collection[str]
+    ) -> Estimate | None:
+        if not request.route.allows(self._region):
+            return None
+        now = self._clock.monotonic()
+        usable = self._usable(request.service_name, tried, now)
+        if not usable:
+            return None
+        preferred = self._preferred(request, usable)
+        estimates = [
+            self._estimate(
+                request, target, now, is_preferred=target is preferred
+            )
+            for target in usable
+        ]
+        return min(estimates, key=self._cost)
+
+    def _usable(
+        self, service: str, tried: Collection[str], now: float
+    ) -> list[Target]:
+        here = [
+            target
+            for target in self._targets.of(service, self._region)
+            if target.record.data_centre not in self._targets.evacuated
+            and target.record.instance not in tried
+            and self._is_warm_enough(target, now)
+        ]
+        staying = [one for one in here if one.last_resort_until is None]
+        sound = [one for one in staying if one.ejected_until <= now]
+        if sound:
+            return sound
+        return staying or [
+            one
+            for one in here
+            if one.last_resort_until is not None and one.last_resort_until > now
+        ]
+
+    def _is_warm_enough(self, target: Target, now: float) -> bool:
+        if target.cold_until <= now:
+            return True
+        service = self._targets.service(target.record.service)
+        if service.cold_requests_per_second <= 0:
+            return True
+        return self._pace.allows(target, service.cold_requests_per_second, now)
+
+    def _preferred(
+        self, request: Request, usable: list[Target]
+    ) -> Target | None:
+        # The last part belongs to the request alone; the one before it is
+        # the subject, which is read again at each target that gets it.
+        parts = request.facts.parts
+        if len(parts) < 2:
+            return None
+        names = {target.record.instance: target for target in usable}
+        return names[rank(parts[-2].name, names)[0]]
+
+    def _estimate(
+        self,
+        request: Request,
+        target: Target,
+        now: float,
+        *,
+        is_preferred: bool,
+    ) -> Estimate:
+        service = self._targets.service(request.service_name)
+        wait = self._wait_seconds(target, now)
+        if not service.is_engine:
+            return Estimate(target, wait, target.seconds_per_call, 0)
+        facts = request.facts
+        cached = target.cached_tokens(facts.parts, now)
+        if is_preferred and not cached:
+            cached = sum(part.tokens for part in facts.parts[:-1])
+        unread = max(0, facts.prompt_tokens - cached)
+        own = unread / limits.READ_TOKENS_PER_MS / _MS_PER_SECOND
+        own += limits.FIRST_EVENT_SECONDS
+        return Estimate(target, wait, own, cached)
+
+    def _wait_seconds(self, target: Target, now: float) -> float:
+        service = self._targets.service(target.record.service)
+        load = target.load(now)
+        slots = max(1, target.record.slots)
+        if not service.is_engine:
+            waiting = max(0, load.requests + 1 - slots)
+            return waiting * target.seconds_per_call / slots
+        seconds = (
+            load.unread_tokens / limits.READ_TOKENS_PER_MS / _MS_PER_SECOND
+        )
+        seconds += load.requests * limits.RUNNING_SECONDS
+        if load.requests >= slots:
+            seconds += 1.0
+        if load.held_tokens > service.memory_tokens * limits.MEMORY_SHARE:
+            seconds += 1.0
+        return seconds * max(1.0, min(target.slowness, 4.0))
+
+    def _cost(self, estimate: Estimate) -> float:
+        target = estimate.target
+        # A target that fails part of its requests is worth less than one
+        # that is merely late: most failures can't be made good.
+        risk = target.failing_share**2
+        jitter = self._random.uniform(0, 0.004)
+        return estimate.seconds * max(1.0, target.slowness) + risk + jitter
+
+    def _seconds_allowed(self, request: Request) -> float:
+        elapsed = self._clock.monotonic() - request.received_at
+        return request.route.aim_seconds * limits.AIM_SHARE - elapsed
+
+    def _best_elsewhere(
+        self, request: Request, tried_regions: Collection[str]
+    ) -> RemoteRegion | None:
+        if request.is_relayed:
+            return None
+        return self._regions.best(request, tried_regions)
+
+    def _late_choice(
+        self,
+        request: Request,
+        best: Estimate | None,
+        remote: RemoteRegion | None,
+    ) -> Choice:
+        waits = [one.seconds for one in (best, remote) if one]
+        if not waits:
+            return Refuse('no_target', self._return_seconds(NO_TARGET_SECONDS))
+        least = min(waits)
+        if self._is_worth_waiting(request, least):
+            return self._nearest(best, remote)
+        half_aim = request.route.aim_seconds / 2
+        return Refuse('late', self._return_seconds(least - half_aim))
+
+    def _is_worth_waiting(self, request: Request, seconds: float) -> bool:
+        """Tell whether a request is served although it will be late."""
+        aim = request.route.aim_seconds
+        if not self._targets.service(request.service_name).is_engine:
+            return seconds < aim * PLAIN_LATE_AIMS
+        # A large prompt takes most of its aim by itself: however empty the
+        # targets, it is late, and refusing it would starve it.
+        read_seconds = (
+            request.facts.prompt_tokens
+            / limits.READ_TOKENS_PER_MS
+            / _MS_PER_SECOND
+        )
+        is_large = read_seconds > aim / 2
+        return is_large and seconds - read_seconds < aim / 2
+
+    def _nearest(
+        self, best: Estimate | None, remote: RemoteRegion | None
+    ) -> Choice:
+        if best is None and remote is not None:
+            return PassTo(remote)
+        if best is not None and remote is not None:
+            is_here = best.seconds <= remote.seconds
+            return SendTo(best) if is_here else PassTo(remote)
+        if best is not None:
+            return SendTo(best)
+        return Refuse('no_target', self._return_seconds(NO_TARGET_SECONDS))
+
+    def _return_seconds(self, wait_seconds: float) -> float:
+        spread = self._random.uniform(0, RETURN_SPREAD_SECONDS)
+        return max(RETURN_AT_LEAST_SECONDS, wait_seconds) + spread
--- /dev/null
+++ b/jacinthfold/placement/limits.py
@@ -0,0 +1,38 @@
+"""Name the figures that placement goes by, with their units and sources."""
+
+# Prompt tokens that an engine reads in a millisecond, from the deployment's
+# sheets (81.9); a little less, so that an estimate errs on the late side.
+READ_TOKENS_PER_MS = 78.0
+# Time from the end of reading to the first event: one batch of decoding,
+# measured on an idle engine.
+FIRST_EVENT_SECONDS = 0.06
+# What each request already running adds to the first event of another.
+RUNNING_SECONDS = 0.0015
+# What a plain service's call takes until its own pace has been measured.
+CALL_SECONDS = 0.03
+# There and back between regions, plus the hop inside each: 2 x 55 ms.
+REGION_TRIP_SECONDS = 0.12
+# Share of the aim that a placement may be expected to use; the rest covers
+# what other hosts sent meanwhile, which is heard of up to 200 ms late.
+AIM_SHARE = 0.9
+# A removed or draining target may be the only one left, and entries that
+# lapsed with the store come back within 2 s; targets serve on for 3 s.
+LAST_RESORT_SECONDS = 2.0
+# A target that no connection reaches is left alone this long at first, and
+# up to the limit after repeated failures.
+EJECT_SECONDS = 0.5
+EJECT_LIMIT_SECONDS = 4.0
+FAILURES_TO_EJECT = 3
+# A load report of another host counts this long; reports come every 200 ms.
+REPORT_SECONDS = 1.5
+# Beliefs about cached prompt parts: how many per target and how long.
+CACHED_CHAINS = 400
+CACHED_SECONDS = 60.0
+# Memory that requests may fill: engines preempt when it runs out.
+MEMORY_SHARE = 0.92
+# Pace of a cold target against what it tolerates. Its hosts may disagree for
+# a moment on who paces it: two paces of 0.9 stay below the bound of 1.5
+# times plus 3.
+COLD_PACE_SHARE = 0.9
+# Added to what a target says of its coldness: its record is up to 0.8 s old.
+COLD_MARGIN_SECONDS = 0.3
--- /dev/null
+++ b/jacinthfold/placement/regions.py
@@ -0,0 +1,125 @@
+"""Know what room other regions have, from their hosts' heartbeats."""
+
+from collections.abc import Collection, Iterable, Mapping
+
+from jacinthfold.clock import Clock
+from jacinthfold.placement import limits
+from jacinthfold.proxy.messages import Request
+
+_MS_PER_SECOND = 1000.0
+# Own requests on their way to a region count until its next heartbeats have
+# taken them in: two heartbeats and the trip.
+ON_ITS_WAY_SECONDS = 0.8
+
+
+class RemoteRegion:
+    """Hold a region that could serve a request, and when."""
+
+    __slots__ = ('hosts', 'name', 'seconds')
+
+    def __init__(
+        self, name: str, seconds: float, hosts: tuple[str, ...]
+    ) -> None:
+        """Take the expected time to the first event and the live hosts."""
+        self.name = name
+        self.seconds = seconds
+        self.hosts = hosts
+
+
+class RegionReport:
+    """Hold what one host says of its region's room."""
+
+    __slots__ = ('heard_at', 'region', 'target_counts', 'waits')
+
+    def __init__(
+        self,
+        region: str,
+        heard_at: float,
+        waits: Mapping[str, float],
+        target_counts: Mapping[str, int],
+    ) -> None:
+        """Take seconds of wait and usable targets by service."""
+        self.region = region
+        self.heard_at = heard_at
+        self.waits = dict(waits)
+        self.target_counts = dict(target_counts)
+
+
+class RegionView:
+    """Hold the newest reports of other regions' hosts."""
+
+    def __init__(self, own_region: str, clock: Clock) -> None:
+        """Start without reports."""
+        self._own_region = own_region
+        self._clock = clock
+        self._reports: dict[str, RegionReport] = {}
+        self._on_its_way: list[tuple[float, str, str, float]] = []
+
+    def take(self, host: str, report: RegionReport) -> None:
+        """Take a host's report."""
+        if report.region != self._own_region:
+            self._reports[host] = report
+
+    def note_passed(self, request: Request, region: str) -> None:
+        """Take that a request was passed to a region."""
+        seconds = self._read_seconds(request)
+        entry = (
+            self._clock.monotonic() + ON_ITS_WAY_SECONDS,
+            region,
+            request.service_name,
+            seconds,
+        )
+        self._on_its_way.append(entry)
+
+    def best(
+        self, request: Request, tried_regions: Collection[str]
+    ) -> RemoteRegion | None:
+        """Return the allowed region that serves soonest."""
+        now = self._clock.monotonic()
+        self._on_its_way = [one for one in self._on_its_way if one[0] > now]
+        by_region: dict[str, list[str]] = {}
+        for host, report in self._reports.items():
+            if now - report.heard_at < limits.REPORT_SECONDS:
+                by_region.setdefault(report.region, []).append(host)
+        found = [
+            self._remote(request, name, hosts)
+            for name, hosts in by_region.items()
+            if name not in tried_regions and request.route.allows(name)
+        ]
+        return min(
+            (one for one in found if one is not None),
+            key=_seconds,
+            default=None,
+        )
+
+    def _remote(
+        self, request: Request, name: str, hosts: Iterable[str]
+    ) -> RemoteRegion | None:
+        service = request.service_name
+        serving = [
+            host for host in hosts if service in self._reports[host].waits
+        ]
+        if not serving:
+            return None
+        waits = [self._reports[host].waits[service] for host in serving]
+        count = max(
+            self._reports[host].target_counts.get(service, 1)
+            for host in serving
+        )
+        coming = sum(
+            seconds
+            for _, region, kind, seconds in self._on_its_way
+            if (region, kind) == (name, service)
+        )
+        seconds = sum(waits) / len(waits) + coming / max(1, count)
+        seconds += self._read_seconds(request) + limits.REGION_TRIP_SECONDS
+        return RemoteRegion(name, seconds, tuple(serving))
+
+    def _read_seconds(self, request: Request) -> float:
+        tokens = request.facts.prompt_tokens
+        read = tokens / limits.READ_TOKENS_PER_MS / _MS_PER_SECOND
+        return read + limits.FIRST_EVENT_SECONDS
+
+
+def _seconds(region: RemoteRegion) -> float:
+    return region.seconds
--- /dev/null
+++ b/jacinthfold/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translate between the gateway and the platform that it runs on."""
--- /dev/null
+++ b/jacinthfold/platform/dialect.py
@@ -0,0 +1,137 @@
+"""Translate the platform's headers."""
+
+from jacinthfold.proxy.messages import (
+    AnswerFacts,
+    Headers,
+    PromptPart,
+    Request,
+    RequestFacts,
+    first_header,
+    without_framing,
+)
+
+REQUEST_ID = b'Attempt-Id'
+DEADLINE = b'Request-Deadline'
+INSTANCE = b'Target-Instance'
+LAST_EVENT_ID = b'Last-Event-Id'
+NOT_RUN = b'Not-Executed'
+SEAL = b'Response-Seal'
+COLD = b'Warmup-Remaining'
+PROMPT_PARTS = b'Prompt-Prefix'
+TOKENS = b'Token-Usage'
+PRIORITY = b'Request-Priority'
+RETRY_AFTER = b'Retry-After'
+
+# Headers of a request that only this system may set: what a caller sends
+# under these names is dropped.
+SYSTEM_HEADERS = frozenset(
+    (
+        b'hold',
+        b'pin-duration',
+        b'kv-backup',
+        b'kv-from',
+        b'kv-fetch',
+        INSTANCE.lower(),
+        PRIORITY.lower(),
+        b'expect-version',
+    )
+)
+REPLACED_HEADERS = SYSTEM_HEADERS | {DEADLINE.lower(), LAST_EVENT_ID.lower()}
+# Urgency 0 is first, 9 last; routes rank from 0.
+PRIORITY_LIMIT = 9
+_MS = 1000
+
+
+class PlatformDialect:
+    """Read and write the headers of the platform's callers and targets."""
+
+    def read_request(self, headers: Headers) -> RequestFacts:
+        """Return what a request's headers say; raise ValueError."""
+        host = first_header(headers, b'host').decode('latin-1')
+        facts = RequestFacts(
+            _text(headers, REQUEST_ID), host.rsplit(':', 1)[0].lower()
+        )
+        deadline_ms = _text(headers, DEADLINE)
+        if deadline_ms:
+            facts.patience_seconds = float(deadline_ms) / _MS
+        tokens = _text(headers, TOKENS)
+        if tokens:
+            prompt, _, output = tokens.partition(',')
+            facts.prompt_tokens = int(prompt)
+            facts.output_tokens = int(output or 0)
+        facts.parts = _parts(_text(headers, PROMPT_PARTS))
+        facts.last_event_id = _text(headers, LAST_EVENT_ID)
+        return facts
+
+    def read_answer(self, status: int, headers: Headers) -> AnswerFacts:
+        """Return what an answer's headers say."""
+        facts = AnswerFacts()
+        facts.request_id = _text(headers, REQUEST_ID)
+        facts.is_not_run = bool(first_header(headers, NOT_RUN.lower()))
+        facts.is_sealed = bool(first_header(headers, SEAL.lower()))
+        facts.idle_seconds = _idle_seconds(headers)
+        cold_ms = _text(headers, COLD)
+        facts.cold_seconds = float(cold_ms) / _MS if cold_ms else None
+        return facts
+
+    def target_headers(
+        self,
+        request: Request,
+        *,
+        instance: str,
+        left_seconds: float,
+        last_event_id: str,
+    ) -> Headers:
+        """Return headers for a target, without framing."""
+        headers = [
+            (name, content)
+            for name, content in without_framing(request.headers)
+            if name.lower() not in REPLACED_HEADERS
+        ]
+        left_ms = max(1, int(left_seconds * _MS))
+        headers.append((DEADLINE, str(left_ms).encode()))
+        if last_event_id:
+            headers.append((LAST_EVENT_ID, last_event_id.encode()))
+        if instance:
+            headers.append((INSTANCE, instance.encode()))
+        if request.route.is_stream:
+            rank = min(request.route.priority, PRIORITY_LIMIT)
+            headers.append((PRIORITY, str(rank).encode()))
+        return headers
+
+    def own_headers(self, request_id: str) -> Headers:
+        """Return headers that every answer of our own carries."""
+        if not request_id:
+            return []
+        return [(REQUEST_ID, request_id.encode('latin-1'))]
+
+    def retry_headers(self, after_seconds: float) -> Headers:
+        """Return headers that say when to come back."""
+        return [(RETRY_AFTER, f'{after_seconds:.3f}'.encode())]
+
+
+def _text(headers: Headers, name: bytes) -> str:
+    return first_header(headers, name.lower()).decode('latin-1').strip()
+
+
+def _parts(content: str) -> tuple[PromptPart, ...]:
+    parts = []
+    for entry in content.split(','):
+        name, _, tokens = entry.strip().partition(':')
+        if name:
+            parts.append(PromptPart(name, int(tokens or 0)))
+    return tuple(parts)
+
+
+def _idle_seconds(headers: Headers) -> float | None:
+    tokens = [
+        token.strip().lower()
+        for token in _text(headers, b'Connection').split(',')
+    ]
+    if 'close' in tokens:
+        return 0.0
+    for entry in _text(headers, b'Keep-Alive').split(','):
+        name, _, seconds = entry.strip().partition('=')
+        if name.lower() == 'timeout' and seconds.isdigit():
+            return float(seconds)
+    return None
--- /dev/null
+++ b/jacinthfold/platform/documents.py
@@ -0,0 +1,114 @@
+"""Translate what the platform's operators and targets write in the store."""
+
+import json
+from typing import Any
+
+from jacinthfold.catalogue.model import (
+    CallerLimits,
+    Repetition,
+    Route,
+    RouteTable,
+    Service,
+    TargetRecord,
+)
+from jacinthfold.catalogue.records import Kind
+
+ROUTES_KEY = 'op/config'
+EVACUATION_PREFIX = 'op/evacuate/'
+TARGET_PREFIX = 'servers/'
+HOST_PREFIX = 'hosts/'
+LISTED_PREFIXES = ('op/', TARGET_PREFIX, HOST_PREFIX)
+_MS = 1000
+
+
+class PlatformReader:
+    """Turn the store's items into types."""
+
+    def kind_of(self, key: str) -> tuple[Kind, str]:
+        """Return what a key is about and the name within that kind."""
+        if key == ROUTES_KEY:
+            return Kind.ROUTES, key
+        for prefix, kind in (
+            (EVACUATION_PREFIX, Kind.EVACUATION),
+            (TARGET_PREFIX, Kind.TARGET),
+            (HOST_PREFIX, Kind.HOST),
+        ):
+            if key.startswith(prefix):
+                return kind, key.removeprefix(prefix)
+        return Kind.OTHER, key
+
+    def read_routes(self, content: bytes) -> RouteTable:
+        """Return the operator's configuration."""
+        document = json.loads(content)
+        services = {
+            entry['name']: _read_service(entry)
+            for entry in document['backends']
+        }
+        routes = tuple(_read_route(entry) for entry in document['routes'])
+        limits = _read_limits(document.get('limits') or {})
+        return RouteTable(document['version'], routes, services, limits)
+
+    def read_target(self, name: str, content: bytes) -> TargetRecord:
+        """Return what a target tells of itself."""
+        document = json.loads(content)
+        host, _, port = document['address'].rpartition(':')
+        record = TargetRecord(
+            name, document['backend'], (host, int(port)), document['zone']
+        )
+        record.slots = int(document.get('slots') or 1)
+        record.is_draining = document.get('state') == 'draining'
+        record.cold_seconds = document.get('warmup-left-ms', 0) / _MS
+        remaining_ms = document.get('remaining-ms')
+        if remaining_ms is not None:
+            record.remaining_seconds = remaining_ms / _MS
+        return record
+
+
+def _read_route(entry: dict[str, Any]) -> Route:
+    split = entry.get('weighted-backends') or []
+    services = tuple((one['backend'], float(one['weight'])) for one in split)
+    if not services:
+        services = ((entry['backend'], 1.0),)
+    route = Route(
+        entry['name'], entry['hostname'].lower(), entry['prefix'], services
+    )
+    kind = entry['route-type']
+    route.is_stream = kind == 'stream'
+    route.repetition = _repetition(kind, entry)
+    route.timeout_seconds = entry['timeout-ms'] / _MS
+    route.aim_seconds = (
+        entry.get('target-latency-ms') or entry['timeout-ms']
+    ) / _MS
+    route.gap_aim_seconds = (entry.get('target-gap-ms') or 0) / _MS
+    route.priority = entry.get('priority') or 0
+    route.max_attempts = max(1, entry.get('max-attempts') or 1)
+    route.home_regions = frozenset(entry.get('allowed-regions') or ())
+    return route
+
+
+def _repetition(kind: str, entry: dict[str, Any]) -> Repetition:
+    if kind == 'idempotent':
+        return Repetition.WHOLE
+    if kind == 'stream' and entry.get('resumable'):
+        return Repetition.RESUMED
+    return Repetition.NEVER
+
+
+def _read_service(entry: dict[str, Any]) -> Service:
+    service = Service(entry['name'])
+    service.connection_limit = entry.get('max-connections') or 0
+    service.cold_seconds = entry.get('warmup-s') or 0.0
+    service.cold_requests_per_second = entry.get('warmup-per-s') or 0.0
+    engine = entry.get('engine') or {}
+    service.slots = engine.get('slots') or 0
+    service.memory_tokens = engine.get('kv-tokens') or 0
+    return service
+
+
+def _read_limits(entry: dict[str, Any]) -> CallerLimits:
+    return CallerLimits(
+        head_bytes=entry.get('max-header-bytes') or 16384,
+        body_bytes=entry.get('max-body-bytes') or 4194304,
+        head_timeout_seconds=(entry.get('header-timeout-ms') or 5000) / _MS,
+        idle_timeout_seconds=(entry.get('idle-timeout-ms') or 30000) / _MS,
+    )
--- /dev/null
+++ b/jacinthfold/platform/program.py
@@ -0,0 +1,36 @@
+"""Run an entry host on the platform."""
+
+import asyncio
+from pathlib import Path
+
+from jacinthfold import logs
+from jacinthfold.clock import SystemClock
+from jacinthfold.gateway import settings as gateway_settings
+from jacinthfold.gateway.adapter import Adapter
+from jacinthfold.gateway.node import GatewayNode
+from jacinthfold.platform.calls import PlatformCalls
+from jacinthfold.platform.dialect import PlatformDialect
+from jacinthfold.platform.documents import PlatformReader
+from jacinthfold.platform.store import PlatformStore
+from jacinthfold.proxy.http_call import HttpCaller
+
+
+def run(path: Path) -> None:
+    """Serve until asked to stop; raise SettingsError."""
+    settings = gateway_settings.load(path)
+    logs.set_up_bounded(settings.host.log_level, settings.host.name)
+    asyncio.run(_serve(settings, path))
+
+
+async def _serve(
+    settings: gateway_settings.GatewaySettings, path: Path
+) -> None:
+    clock = SystemClock()
+    caller = HttpCaller(clock)
+    adapter = Adapter(
+        PlatformStore(settings.store.address, caller),
+        PlatformReader(),
+        PlatformDialect(),
+        PlatformCalls(),
+    )
+    await GatewayNode(settings, path, adapter, caller, clock).run()
--- /dev/null
+++ b/jacinthfold/platform/store.py
@@ -0,0 +1,143 @@
+"""Call the platform's metadata store."""
+
+import asyncio
+import base64
+import json
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import urlencode
+
+from jacinthfold.catalogue.metadata import (
+    LeaseLostError,
+    MetadataError,
+    MetadataHistoryLostError,
+)
+from jacinthfold.catalogue.records import Record
+from jacinthfold.platform.documents import HOST_PREFIX, LISTED_PREFIXES
+from jacinthfold.proxy.errors import ProxyError
+from jacinthfold.proxy.http_call import CallAnswer, HttpCaller
+
+# The store answers in 4 ms; a slow one takes some hundred.
+CALL_SECONDS = 1.5
+# A watch that hears nothing after its own wait and this is on a dead
+# connection.
+WATCH_MARGIN_SECONDS = 1.0
+_MS = 1000
+
+
+class PlatformStore:
+    """List, follow and write the platform's metadata."""
+
+    def __init__(self, address: tuple[str, int], caller: HttpCaller) -> None:
+        """Take where the store is and who makes the calls."""
+        self._address = address
+        self._caller = caller
+
+    async def list_all(self) -> tuple[list[Record], int]:
+        """Return all records of interest and a revision not above them."""
+        records: list[Record] = []
+        revisions = []
+        for listed, revision in await asyncio.gather(
+            *(self._list(prefix) for prefix in LISTED_PREFIXES)
+        ):
+            records.extend(listed)
+            revisions.append(revision)
+        return records, min(revisions)
+
+    async def changes_since(
+        self, revision: int, wait_seconds: float
+    ) -> tuple[list[Record], int]:
+        """Return changes after a revision, waiting for the first one."""
+        document = await self._get(
+            '/api/kv-watch',
+            {
+                'prefix': '',
+                'after': revision,
+                'wait-ms': int(wait_seconds * _MS),
+            },
+            wait_seconds + WATCH_MARGIN_SECONDS,
+        )
+        records = [_record(event) for event in document['events']]
+        return records, max(revision, document['store-revision'])
+
+    async def grant_lease(self, seconds: float) -> int:
+        """Return a new lease that ends unless it is renewed."""
+        body = {'ttl-ms': int(seconds * _MS)}
+        document = await self._call('POST', '/api/kv-lease', body)
+        return int(document['lease'])
+
+    async def renew_lease(self, lease: int) -> None:
+        """Renew a lease; raise LeaseLostError when it has ended."""
+        await self._call('POST', f'/api/kv-keep/{lease}', {})
+
+    async def end_lease(self, lease: int) -> None:
+        """End a lease and remove what was written under it."""
+        await self._call('DELETE', f'/api/kv-lease-end/{lease}', {})
+
+    async def write_host(self, name: str, content: bytes, lease: int) -> None:
+        """Write an entry host's record, whatever stood there before."""
+        put = {
+            'key': f'{HOST_PREFIX}{name}',
+            'value': base64.b64encode(content).decode(),
+            'lease': lease,
+        }
+        body = {'expected-rev': [], 'puts': [put], 'remove': []}
+        await self._call('POST', '/api/kv-txn', body)
+
+    async def _list(self, prefix: str) -> tuple[list[Record], int]:
+        records: list[Record] = []
+        query: dict[str, Any] = {'prefix': prefix}
+        first_revision = None
+        while True:
+            document = await self._get('/api/kv-range', query, CALL_SECONDS)
+            # Pages are no snapshot: what changes between them is seen by a
+            # watch that begins at the first page's revision.
+            if first_revision is None:
+                first_revision = int(document['store-revision'])
+            items = document['items']
+            records.extend(_record(item) for item in items)
+            if not document['has-more'] or not items:
+                return records, first_revision
+            query['after'] = items[-1]['key']
+
+    async def _get(
+        self, path: str, query: dict[str, Any], timeout_seconds: float
+    ) -> Any:
+        target = f'{path}?{urlencode(query)}'
+        return await self._answer('GET', target, b'', timeout_seconds)
+
+    async def _call(self, method: str, path: str, body: dict[str, Any]) -> Any:
+        content = json.dumps(body).encode() if body else b''
+        return await self._answer(method, path, content, CALL_SECONDS)
+
+    async def _answer(
+        self, method: str, target: str, body: bytes, timeout_seconds: float
+    ) -> Any:
+        try:
+            answer = await self._caller.call(
+                self._address, method, target, body, timeout_seconds
+            )
+        except ProxyError as error:
+            raise MetadataError(f'{type(error).__name__}: {error}') from error
+        return _document(answer, target)
+
+
+def _document(answer: CallAnswer, target: str) -> Any:
+    call = target.partition('?')[0]
+    if answer.status == HTTPStatus.GONE:
+        raise MetadataHistoryLostError(call)
+    if answer.status == HTTPStatus.NOT_FOUND:
+        raise LeaseLostError(call)
+    if answer.status != HTTPStatus.OK:
+        raise MetadataError(f'{call}: status {answer.status}')
+    try:
+        return json.loads(answer.body) if answer.body else {}
+    except ValueError as error:
+        raise MetadataError(f'{call}: {error}') from error
+
+
+def _record(item: dict[str, Any]) -> Record:
+    content = None
+    if not item.get('removed'):
+        content = base64.b64decode(item['value'])
+    return Record(item['key'], int(item['revision']), content)
--- /dev/null
+++ b/jacinthfold/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""Take callers' requests, send them to targets and bring answers back."""
--- /dev/null
+++ b/jacinthfold/proxy/attempts.py
@@ -0,0 +1,255 @@
+"""Send a request to a target or to another region's host, once."""
+
+import random
+from http import HTTPStatus
+
+from jacinthfold.catalogue.model import HostRecord, Repetition
+from jacinthfold.clock import Clock
+from jacinthfold.fleet.table import HostTable
+from jacinthfold.placement.choice import Estimate
+from jacinthfold.placement.regions import RegionView, RemoteRegion
+from jacinthfold.placement.targets import Target
+from jacinthfold.proxy import relay_header
+from jacinthfold.proxy.delivery import Delivery
+from jacinthfold.proxy.dialect import Dialect
+from jacinthfold.proxy.errors import ConnectFailedError, ProxyError
+from jacinthfold.proxy.exchange import Exchange
+from jacinthfold.proxy.listener import CallerAnswer
+from jacinthfold.proxy.messages import (
+    AnswerHead,
+    Headers,
+    Request,
+    first_header,
+)
+from jacinthfold.proxy.outcome import Ending, Outcome
+from jacinthfold.proxy.pool import Place, Pool
+from jacinthfold.proxy.progress import Progress
+
+# Targets are in the same region, under 1 ms away: three lost packets' worth.
+CONNECT_SECONDS = 0.4
+# Other regions are 110 ms there and back.
+REGION_CONNECT_SECONDS = 0.7
+# Repeatable requests are taken away from a target that says nothing for
+# this many times the aim, while the caller still has time for another.
+SILENCE_AIMS = 1.5
+SILENCE_AT_LEAST_SECONDS = 0.8
+
+
+class Attempts:
+    """Carry out single attempts and note what they showed of targets."""
+
+    def __init__(
+        self,
+        pool: Pool,
+        hosts: HostTable,
+        regions: RegionView,
+        dialect: Dialect,
+        clock: Clock,
+    ) -> None:
+        """Take the connections and the parts that learn from attempts."""
+        self._pool = pool
+        self._hosts = hosts
+        self._regions = regions
+        self._dialect = dialect
+        self._clock = clock
+        self._random = random.Random()
+
+    async def at_target(
+        self,
+        request: Request,
+        answer: CallerAnswer,
+        progress: Progress,
+        estimate: Estimate,
+    ) -> Outcome:
+        """Send a request to a target and deliver its answer."""
+        target = estimate.target
+        headers = self._dialect.target_headers(
+            request,
+            instance=target.record.instance,
+            left_seconds=request.deadline - self._clock.monotonic(),
+            last_event_id=progress.last_event_id,
+        )
+        headers = relay_header.without_internal(headers)
+        delivery = Delivery(request, answer, progress, self._silence(request))
+        began_at = self._clock.monotonic()
+        unread = _Unread(target, request, estimate.cached_tokens)
+        delivery.on_first_event = unread.note_read
+        try:
+            outcome = await self._exchange(
+                target.place, CONNECT_SECONDS, request, headers, delivery
+            )
+        finally:
+            unread.release()
+        self._learn(target, outcome, delivery, began_at, estimate)
+        return outcome
+
+    async def at_region(
+        self,
+        request: Request,
+        answer: CallerAnswer,
+        progress: Progress,
+        region: RemoteRegion,
+    ) -> Outcome:
+        """Pass a request to a host of another region."""
+        host = self._choose_host(region)
+        if host is None:
+            return Outcome(Ending.NOT_RUN, 'no_host_in_region')
+        self._regions.note_passed(request, region.name)
+        now = self._clock.monotonic()
+        request.attempts_before = progress.runs
+        headers = self._dialect.target_headers(
+            request,
+            instance='',
+            left_seconds=request.deadline - now,
+            last_event_id=progress.last_event_id,
+        )
+        headers = relay_header.without_internal(headers)
+        headers.extend(
+            relay_header.write(
+                request, request.deadline - now, now - request.received_at
+            )
+        )
+        delivery = Delivery(request, answer, progress, self._silence(request))
+        place = (host.address, host.relay_port, host.name)
+        return await self._exchange(
+            place, REGION_CONNECT_SECONDS, request, headers, delivery
+        )
+
+    def _choose_host(self, region: RemoteRegion) -> HostRecord | None:
+        names = set(region.hosts)
+        found = [
+            host
+            for host in self._hosts.serving(region.name)
+            if host.name in names
+        ]
+        return self._random.choice(found) if found else None
+
+    def _silence(self, request: Request) -> float | None:
+        if request.route.repetition is Repetition.NEVER:
+            return None
+        aim = request.route.aim_seconds
+        return max(SILENCE_AIMS * aim, SILENCE_AT_LEAST_SECONDS)
+
+    async def _exchange(
+        self,
+        place: Place,
+        connect_seconds: float,
+        request: Request,
+        headers: Headers,
+        delivery: Delivery,
+    ) -> Outcome:
+        must_be_fresh = request.route.repetition is Repetition.NEVER
+        try:
+            channel = await self._pool.take(
+                place, connect_seconds, must_be_fresh=must_be_fresh
+            )
+        except ConnectFailedError as error:
+            return Outcome(Ending.NOT_RUN, f'unreachable: {error}')
+        exchange = Exchange(channel, self._dialect)
+        try:
+            return await self._carry(exchange, request, headers, delivery)
+        except ProxyError as error:
+            return delivery.broken(error)
+        except TimeoutError:
+            return delivery.broken(ProxyError('silent'))
+        finally:
+            self._release(place, exchange)
+
+    async def _carry(
+        self,
+        exchange: Exchange,
+        request: Request,
+        headers: Headers,
+        delivery: Delivery,
+    ) -> Outcome:
+        # From here on nobody can say that the request has not run, whatever
+        # ends this attempt: a deadline or the caller's leaving too.
+        delivery.note_leaves()
+        await exchange.send(
+            request.method,
+            request.target,
+            headers,
+            request.body,
+            request.facts.request_id,
+        )
+        head = await delivery.head_of(exchange)
+        outcome = _turned_down(head)
+        if outcome is None:
+            return await delivery.deliver(exchange, head)
+        await exchange.whole(delivery.limit_bytes)
+        return outcome
+
+    def _release(self, place: Place, exchange: Exchange) -> None:
+        # A connection whose request was given up on may still bring its
+        # answer; nobody else may be given that.
+        if exchange.may_reuse():
+            self._pool.give_back(place, exchange.channel, exchange.idle_seconds)
+        else:
+            exchange.channel.abort()
+
+    def _learn(
+        self,
+        target: Target,
+        outcome: Outcome,
+        delivery: Delivery,
+        began_at: float,
+        estimate: Estimate,
+    ) -> None:
+        now = self._clock.monotonic()
+        if outcome.ending is Ending.DELIVERED:
+            first_at = delivery.first_event_at or now
+            seconds = first_at - began_at
+            target.note_success(seconds, estimate.seconds)
+            if not delivery.first_event_at:
+                target.seconds_per_call += 0.1 * (
+                    seconds - target.seconds_per_call
+                )
+            return
+        if outcome.reason == 'wrong_instance':
+            target.last_resort_until = now
+        is_unreachable = outcome.reason.startswith('unreachable')
+        target.note_failure(now, is_unreachable=is_unreachable)
+
+
+class _Unread:
+    """Count a request's load on a target while it is there."""
+
+    def __init__(
+        self, target: Target, request: Request, cached_tokens: int
+    ) -> None:
+        facts = request.facts
+        self._target = target
+        self._unread = max(0, facts.prompt_tokens - cached_tokens)
+        self._held = facts.prompt_tokens + facts.output_tokens
+        target.own.requests += 1
+        target.own.unread_tokens += self._unread
+        target.own.held_tokens += self._held
+
+    def note_read(self) -> None:
+        """Take that the prompt has been read."""
+        self._target.own.unread_tokens -= self._unread
+        self._unread = 0
+
+    def release(self) -> None:
+        """Take that the request has ended."""
+        self.note_read()
+        self._target.own.requests -= 1
+        self._target.own.held_tokens -= self._held
+
+
+def _turned_down(head: AnswerHead) -> Outcome | None:
+    told = first_header(head.headers, relay_header.ANSWER_HEADER)
+    if told == relay_header.TOLD_NOT_RUN:
+        after = first_header(head.headers, b'retry-after')
+        return Outcome(
+            Ending.NOT_RUN,
+            'region_refused',
+            after_seconds=float(after) if after else None,
+        )
+    if told == relay_header.TOLD_UNKNOWN:
+        return Outcome(Ending.UNKNOWN, 'region_failed')
+    if head.status == HTTPStatus.MISDIRECTED_REQUEST:
+        return Outcome(Ending.NOT_RUN, 'wrong_instance')
+    if head.facts.is_not_run:
+        return Outcome(Ending.NOT_RUN, f'target_refused_{head.status}')
+    return None
--- /dev/null
+++ b/jacinthfold/proxy/channel.py
@@ -0,0 +1,162 @@
+"""Move bytes over one TCP connection."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+from jacinthfold.proxy.errors import ConnectFailedError, ConnectionCutError
+
+# Reading stops above this and goes on when it has been taken. Callers' bodies
+# are read as they come, so it bounds what a silent reader can hold.
+READ_AHEAD_BYTES = 262144
+# A peer that no longer acknowledges is noticed after this; without it a
+# connection to a machine without power hangs for minutes.
+UNACKNOWLEDGED_MILLISECONDS = 3000
+KEEP_ALIVE_IDLE_SECONDS = 2
+KEEP_ALIVE_INTERVAL_SECONDS = 1
+KEEP_ALIVE_PROBES = 2
+
+
+class Channel(asyncio.Protocol):
+    """Read and write one connection; know when the other side has left."""
+
+    def __init__(self) -> None:
+        """Wait to be connected."""
+        self._transport: asyncio.Transport | None = None
+        self._arrived = bytearray()
+        self._wake_reader: asyncio.Future[None] | None = None
+        self._wake_writer: asyncio.Future[None] | None = None
+        self._is_paused = False
+        self._is_ended = False
+        self.cut: Exception | None = None
+        self.on_gone: Callable[[], object] | None = None
+        self.on_data: Callable[[], object] | None = None
+        self.local_address = ''
+
+    @property
+    def is_gone(self) -> bool:
+        """Tell whether the other side has closed or reset the connection."""
+        return self._is_ended
+
+    @property
+    def has_unread(self) -> bool:
+        """Tell whether bytes came that nobody has read."""
+        return bool(self._arrived)
+
+    async def read(self) -> bytes:
+        """Return the next bytes, none at the end; raise ConnectionCutError."""
+        while not self._arrived:
+            if self.cut is not None:
+                raise ConnectionCutError(str(self.cut))
+            if self._is_ended:
+                return b''
+            self._wake_reader = asyncio.get_running_loop().create_future()
+            await self._wake_reader
+        taken = bytes(self._arrived)
+        self._arrived.clear()
+        self._resume()
+        return taken
+
+    async def write(self, content: bytes) -> None:
+        """Send bytes and wait while the other side does not read."""
+        self.send(content)
+        while self._is_paused and not self._is_closed():
+            self._wake_writer = asyncio.get_running_loop().create_future()
+            await self._wake_writer
+
+    def send(self, content: bytes) -> None:
+        """Send bytes without waiting."""
+        if self._transport is None or self._is_closed():
+            raise ConnectionCutError('the connection is closed')
+        self._transport.write(content)
+
+    def close(self) -> None:
+        """Close after all that was written has left."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Reset the connection."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport and set the socket up."""
+        if isinstance(transport, asyncio.Transport):
+            self._transport = transport
+        set_up_socket(transport.get_extra_info('socket'))
+        own = transport.get_extra_info('sockname')
+        self.local_address = own[0] if own else ''
+
+    def data_received(self, content: bytes) -> None:
+        """Keep what came for the reader."""
+        self._arrived += content
+        too_much = len(self._arrived) > READ_AHEAD_BYTES
+        if too_much and self._transport is not None:
+            self._transport.pause_reading()
+        self._release(self._wake_reader)
+        if self.on_data is not None:
+            self.on_data()
+
+    def eof_received(self) -> bool:
+        """Take that nothing more will come; what we write may still leave."""
+        self._end()
+        return True
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Take that the connection has ended."""
+        if exc is not None:
+            self.cut = exc
+        self._end()
+        self._release(self._wake_writer)
+
+    def pause_writing(self) -> None:
+        """Make writers wait."""
+        self._is_paused = True
+
+    def resume_writing(self) -> None:
+        """Let writers go on."""
+        self._is_paused = False
+        self._release(self._wake_writer)
+
+    def _end(self) -> None:
+        self._is_ended = True
+        self._release(self._wake_reader)
+        if self.on_gone is not None:
+            self.on_gone()
+
+    def _is_closed(self) -> bool:
+        return self._transport is None or self._transport.is_closing()
+
+    def _resume(self) -> None:
+        if self._transport is not None and not self._is_closed():
+            self._transport.resume_reading()
+
+    def _release(self, waiter: asyncio.Future[None] | None) -> None:
+        if waiter is not None and not waiter.done():
+            waiter.set_result(None)
+
+
+async def connect(address: tuple[str, int], timeout_seconds: float) -> Channel:
+    """Open a connection; raise ConnectFailedError when nothing was sent."""
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_seconds):
+            _, channel = await loop.create_connection(Channel, *address)
+    except (OSError, TimeoutError) as error:
+        place = f'{address[0]}:{address[1]}'
+        raise ConnectFailedError(f'{place}: {error!r}') from error
+    return channel
+
+
+def set_up_socket(opened: socket.socket) -> None:
+    """Send small writes at once and notice a silent other side."""
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, number in (
+        (socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_SECONDS),
+        (socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_SECONDS),
+        (socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES),
+        (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MILLISECONDS),
+    ):
+        opened.setsockopt(socket.IPPROTO_TCP, option, number)
--- /dev/null
+++ b/jacinthfold/proxy/delivery.py
@@ -0,0 +1,113 @@
+"""Bring a target's answer to the caller, whole or visibly broken."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from http import HTTPStatus
+
+from jacinthfold.catalogue.model import Repetition
+from jacinthfold.proxy.errors import ProxyError
+from jacinthfold.proxy.events import EventSplitter
+from jacinthfold.proxy.exchange import Exchange
+from jacinthfold.proxy.listener import CallerAnswer
+from jacinthfold.proxy.messages import AnswerHead, Request
+from jacinthfold.proxy.outcome import Ending, Outcome
+from jacinthfold.proxy.progress import Progress
+
+# Plain answers are held until they are proven whole; this bounds one.
+WHOLE_LIMIT_BYTES = 16777216
+# A stream that may be resumed is taken away from a target that makes no
+# event for this many of the longest pauses that callers accept.
+SILENT_GAPS = 3.0
+SILENT_GAP_AT_LEAST_SECONDS = 0.9
+
+
+class Delivery:
+    """Hold the way of one answer."""
+
+    def __init__(
+        self,
+        request: Request,
+        answer: CallerAnswer,
+        progress: Progress,
+        silence_seconds: float | None,
+    ) -> None:
+        """Take both ends, and how long a repeatable one may say nothing."""
+        self._request = request
+        self._answer = answer
+        self._progress = progress
+        self._silence_seconds = silence_seconds
+        self.limit_bytes = WHOLE_LIMIT_BYTES
+        self.first_event_at = 0.0
+        self.on_first_event: Callable[[], None] | None = None
+
+    def note_leaves(self) -> None:
+        """Take that the request's first byte is about to leave."""
+        self._progress.is_out = True
+
+    async def head_of(self, exchange: Exchange) -> AnswerHead:
+        """Return the head of an answer; raise TimeoutError on silence."""
+        async with asyncio.timeout(self._silence_seconds):
+            return await exchange.head()
+
+    async def deliver(self, exchange: Exchange, head: AnswerHead) -> Outcome:
+        """Bring an answer to the caller."""
+        if self._request.route.is_stream and head.status == HTTPStatus.OK:
+            return await self._deliver_events(exchange, head)
+        async with asyncio.timeout(self._silence_seconds):
+            body = await exchange.whole(self.limit_bytes)
+        is_failure = head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        if self._answer.has_started or (is_failure and self._may_repeat()):
+            reason = f'status_{head.status}'
+            return Outcome(Ending.FAILED, reason, head=head, body=body)
+        await self._answer.whole(head.status, head.passed_headers(), body)
+        if is_failure:
+            return Outcome(Ending.DELIVERED, f'status_{head.status}')
+        return Outcome(Ending.DELIVERED)
+
+    def broken(self, error: ProxyError) -> Outcome:
+        """Return the outcome of an attempt whose answer did not end."""
+        ending = Ending.CUT if self._answer.has_started else Ending.UNKNOWN
+        return Outcome(ending, f'{type(error).__name__}: {error}')
+
+    async def _deliver_events(
+        self, exchange: Exchange, head: AnswerHead
+    ) -> Outcome:
+        splitter = EventSplitter(self._progress.last_event_id)
+        while True:
+            async with asyncio.timeout(self._pause_limit()):
+                part = await exchange.part()
+            if part is None:
+                break
+            await self._pass_on(splitter.feed(part), head)
+            self._progress.last_event_id = splitter.last_event_id
+        await self._pass_on(splitter.rest, head)
+        if not self._answer.has_started:
+            await self._answer.start(head.status, head.passed_headers())
+        await self._answer.finish()
+        return Outcome(Ending.DELIVERED)
+
+    async def _pass_on(self, events: bytes, head: AnswerHead) -> None:
+        if not events:
+            return
+        if not self.first_event_at:
+            self.first_event_at = time.monotonic()
+            if self.on_first_event is not None:
+                self.on_first_event()
+        if not self._answer.has_started:
+            await self._answer.start(head.status, head.passed_headers())
+        await self._answer.write(events)
+
+    def _pause_limit(self) -> float | None:
+        if self._silence_seconds is None:
+            return None
+        if not self.first_event_at:
+            return self._silence_seconds
+        gap = self._request.route.gap_aim_seconds
+        return max(SILENT_GAPS * gap, SILENT_GAP_AT_LEAST_SECONDS)
+
+    def _may_repeat(self) -> bool:
+        route = self._request.route
+        if route.repetition is Repetition.NEVER:
+            return False
+        return self._progress.runs + 1 < route.max_attempts
--- /dev/null
+++ b/jacinthfold/proxy/dialect.py
@@ -0,0 +1,36 @@
+"""Say what the proxy needs to know of the headers in use."""
+
+from typing import Protocol
+
+from jacinthfold.proxy.messages import (
+    AnswerFacts,
+    Headers,
+    Request,
+    RequestFacts,
+)
+
+
+class Dialect(Protocol):
+    """Read and write the headers that callers and targets use."""
+
+    def read_request(self, headers: Headers) -> RequestFacts:
+        """Return what a request's headers say; raise ValueError."""
+
+    def read_answer(self, status: int, headers: Headers) -> AnswerFacts:
+        """Return what an answer's headers say."""
+
+    def target_headers(
+        self,
+        request: Request,
+        *,
+        instance: str,
+        left_seconds: float,
+        last_event_id: str,
+    ) -> Headers:
+        """Return headers for a target, without framing."""
+
+    def own_headers(self, request_id: str) -> Headers:
+        """Return headers that every answer of our own carries."""
+
+    def retry_headers(self, after_seconds: float) -> Headers:
+        """Return headers that say when to come back."""
--- /dev/null
+++ b/jacinthfold/proxy/errors.py
@@ -0,0 +1,26 @@
+"""Name what can go wrong between callers, this host and targets."""
+
+
+class ProxyError(Exception):
+    """Report that a request could not be carried through."""
+
+
+class ConnectFailedError(ProxyError):
+    """Report that no connection came about, so nothing was sent."""
+
+
+class ConnectionCutError(ProxyError):
+    """Report that a connection ended before it was due."""
+
+
+class MalformedAnswerError(ProxyError):
+    """Report bytes that are no answer to the request."""
+
+
+class MalformedRequestError(ProxyError):
+    """Report a caller's bytes that are no proper request."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        """Take the status to answer with and what is wrong."""
+        super().__init__(reason)
+        self.status = status
--- /dev/null
+++ b/jacinthfold/proxy/forwarding.py
@@ -0,0 +1,221 @@
+"""Carry a request through its attempts until it has a final answer."""
+
+import asyncio
+from http import HTTPStatus
+
+from jacinthfold import logs
+from jacinthfold.catalogue.model import Repetition
+from jacinthfold.clock import Clock
+from jacinthfold.placement.budget import RetryBudgets
+from jacinthfold.placement.choice import Choice, PassTo, Placer, Refuse, SendTo
+from jacinthfold.proxy.attempts import Attempts
+from jacinthfold.proxy.dialect import Dialect
+from jacinthfold.proxy.listener import CallerAnswer
+from jacinthfold.proxy.messages import Request
+from jacinthfold.proxy.outcome import Ending, Outcome
+from jacinthfold.proxy.progress import Progress
+from jacinthfold.proxy.relay_header import TOLD_NOT_RUN, TOLD_UNKNOWN, told
+
+# Callers heed a return time of at most a third of what they have left.
+RETURN_SHARE = 0.3
+# Sends of one request that may be turned down before it is refused.
+TURNED_DOWN_LIMIT = 3
+
+
+class Forwarder:
+    """Serve requests: choose, send, repeat where that is allowed, answer."""
+
+    def __init__(
+        self,
+        placer: Placer,
+        attempts: Attempts,
+        budgets: RetryBudgets,
+        dialect: Dialect,
+        clock: Clock,
+    ) -> None:
+        """Take who decides, who sends, and what may be sent again."""
+        self._placer = placer
+        self._attempts = attempts
+        self._budgets = budgets
+        self._dialect = dialect
+        self._clock = clock
+
+    async def serve(self, request: Request, answer: CallerAnswer) -> None:
+        """Answer a request; leave the answer open if it broke midway."""
+        progress = Progress(request)
+        left = request.deadline - self._clock.monotonic()
+        try:
+            async with asyncio.timeout(max(0.0, left)):
+                await self._carry(request, answer, progress)
+        except TimeoutError:
+            progress.reason = 'deadline'
+            await self._give_up(request, answer, progress)
+        finally:
+            self._log_end(request, answer, progress)
+
+    async def _carry(
+        self, request: Request, answer: CallerAnswer, progress: Progress
+    ) -> None:
+        goes_on = True
+        while goes_on:
+            choice = self._placer.choose(
+                request, progress.tried, progress.tried_regions
+            )
+            if isinstance(choice, Refuse):
+                progress.note_refused(choice)
+                break
+            if not self._may_send(request, progress):
+                break
+            goes_on = await self._try_once(request, answer, progress, choice)
+        if progress.ending is not Ending.DELIVERED:
+            await self._give_up(request, answer, progress)
+
+    async def _try_once(
+        self,
+        request: Request,
+        answer: CallerAnswer,
+        progress: Progress,
+        choice: Choice,
+    ) -> bool:
+        """Make one attempt; tell whether another one may follow."""
+        self._log_choice(request, choice, progress)
+        outcome = await self._attempt(request, answer, progress, choice)
+        progress.note(choice, outcome)
+        if outcome.ending is Ending.DELIVERED:
+            return False
+        self._log_failure(request, progress, outcome)
+        return self._may_repeat(request, progress, outcome, answer)
+
+    async def _attempt(
+        self,
+        request: Request,
+        answer: CallerAnswer,
+        progress: Progress,
+        choice: Choice,
+    ) -> Outcome:
+        if isinstance(choice, SendTo):
+            self._placer.note_sent(choice, request)
+            return await self._attempts.at_target(
+                request, answer, progress, choice.estimate
+            )
+        if isinstance(choice, PassTo):
+            return await self._attempts.at_region(
+                request, answer, progress, choice.region
+            )
+        raise TypeError(f'no attempt follows {choice!r}')
+
+    def _may_send(self, request: Request, progress: Progress) -> bool:
+        if progress.sends == 0:
+            # The host that got the request from its caller counts it.
+            if not request.is_relayed:
+                self._budgets.note_request(request.service_name)
+            return True
+        if progress.turned_down >= TURNED_DOWN_LIMIT:
+            return False
+        return self._budgets.take(request.service_name)
+
+    def _may_repeat(
+        self,
+        request: Request,
+        progress: Progress,
+        outcome: Outcome,
+        answer: CallerAnswer,
+    ) -> bool:
+        if outcome.ending is Ending.NOT_RUN:
+            return not answer.has_started or (
+                request.route.repetition is Repetition.RESUMED
+            )
+        if progress.runs >= request.route.max_attempts:
+            return False
+        if answer.has_started:
+            return request.route.repetition is Repetition.RESUMED
+        return request.route.repetition is not Repetition.NEVER
+
+    async def _give_up(
+        self, request: Request, answer: CallerAnswer, progress: Progress
+    ) -> None:
+        """Send the final answer of a request that was not served."""
+        if answer.has_started:
+            return
+        failed = progress.failed
+        if failed is not None and failed.head is not None:
+            await answer.whole(
+                failed.head.status, failed.head.passed_headers(), failed.body
+            )
+            return
+        own = self._dialect.own_headers(request.facts.request_id)
+        if progress.may_have_run:
+            late = progress.reason == 'deadline'
+            status = (
+                HTTPStatus.GATEWAY_TIMEOUT if late else HTTPStatus.BAD_GATEWAY
+            )
+            await answer.whole(status, [*own, *told(TOLD_UNKNOWN)], b'')
+            return
+        left = request.deadline - self._clock.monotonic()
+        after = min(progress.after_seconds, max(0.05, left * RETURN_SHARE))
+        headers = [*own, *self._dialect.retry_headers(after)]
+        headers.extend(told(TOLD_NOT_RUN))
+        await answer.whole(HTTPStatus.SERVICE_UNAVAILABLE, headers, b'')
+
+    def _log_choice(
+        self, request: Request, choice: Choice, progress: Progress
+    ) -> None:
+        if isinstance(choice, SendTo):
+            estimate = choice.estimate
+            logs.event(
+                'request_placed',
+                request=request.facts.request_id,
+                attempt=progress.sends + 1,
+                service=request.service_name,
+                target=estimate.target.record.instance,
+                wait_seconds=estimate.wait_seconds,
+                expected_seconds=estimate.seconds,
+                prompt_tokens=request.facts.prompt_tokens,
+                cached_tokens=estimate.cached_tokens,
+                failing_share=estimate.target.failing_share,
+            )
+        if isinstance(choice, PassTo):
+            logs.event(
+                'request_passed_on',
+                request=request.facts.request_id,
+                attempt=progress.sends + 1,
+                service=request.service_name,
+                region=choice.region.name,
+                expected_seconds=choice.region.seconds,
+            )
+
+    def _log_failure(
+        self, request: Request, progress: Progress, outcome: Outcome
+    ) -> None:
+        logs.warning(
+            'attempt_failed',
+            request=request.facts.request_id,
+            attempt=progress.sends,
+            at=progress.last_place,
+            ending=outcome.ending.value,
+            reason=outcome.reason,
+            runs=progress.runs,
+            last_event_id=progress.last_event_id,
+        )
+
+    def _log_end(
+        self, request: Request, answer: CallerAnswer, progress: Progress
+    ) -> None:
+        elapsed = self._clock.monotonic() - request.received_at
+        fields = {
+            'request': request.facts.request_id,
+            'service': request.service_name,
+            'status': answer.status,
+            'whole': answer.is_finished,
+            'sends': progress.sends,
+            'seconds': elapsed,
+        }
+        if answer.is_finished and answer.status < HTTPStatus.BAD_REQUEST:
+            logs.event('request_served', **fields)
+            return
+        logs.warning(
+            'request_not_served',
+            reason=progress.reason or 'caller_left',
+            after_seconds=progress.after_seconds,
+            **fields,
+        )
--- /dev/null
+++ b/jacinthfold/proxy/listener.py
@@ -0,0 +1,350 @@
+"""Read callers' requests from connections and write answers to them."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import h11
+
+from jacinthfold import logs
+from jacinthfold.catalogue.model import CallerLimits
+from jacinthfold.proxy.channel import Channel
+from jacinthfold.proxy.errors import ConnectionCutError, MalformedRequestError
+from jacinthfold.proxy.messages import Headers
+
+_HTTP_ERRORS_FROM = 400
+# Callers use connections that were idle for nearly as long as the limit
+# says; one that is closed exactly then would meet their next request.
+IDLE_MARGIN_SECONDS = 2.0
+BACKLOG = 512
+
+
+class RawRequest:
+    """Hold a request as it was read."""
+
+    __slots__ = ('body', 'headers', 'method', 'target')
+
+    def __init__(
+        self, method: bytes, target: bytes, headers: Headers, body: bytes
+    ) -> None:
+        """Take the parts as they came."""
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+
+
+class CallerGoneError(Exception):
+    """Report that the caller has left while its answer was written."""
+
+
+class CallerAnswer:
+    """Write one answer to a caller."""
+
+    def __init__(
+        self, channel: Channel, parser: h11.Connection, is_head: bool
+    ) -> None:
+        """Take the connection and the state of its protocol."""
+        self._channel = channel
+        self._parser = parser
+        self._is_head = is_head
+        self.has_started = False
+        self.is_finished = False
+        self.status = 0
+        self.closes_connection = False
+
+    async def whole(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send an answer whose body is known."""
+        framed = [*headers, (b'Content-Length', str(len(body)).encode())]
+        content = self._head(status, framed)
+        if body and not self._is_head:
+            content += self._parser.send(h11.Data(data=body)) or b''
+        content += self._end()
+        await self._write(content)
+        self.is_finished = True
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the head of an answer whose length is not known."""
+        await self._write(self._head(status, headers))
+
+    async def write(self, content: bytes) -> None:
+        """Send a part of the body."""
+        await self._write(self._parser.send(h11.Data(data=content)) or b'')
+
+    async def finish(self) -> None:
+        """Send the end mark, which makes the answer whole."""
+        await self._write(self._end())
+        self.is_finished = True
+
+    def _head(self, status: int, headers: Headers) -> bytes:
+        self.has_started = True
+        self.status = status
+        framed = list(headers)
+        if self.closes_connection:
+            framed.append((b'Connection', b'close'))
+        event = h11.Response(status_code=status, headers=framed)
+        return self._parser.send(event) or b''
+
+    def _end(self) -> bytes:
+        return self._parser.send(h11.EndOfMessage()) or b''
+
+    async def _write(self, content: bytes) -> None:
+        try:
+            await self._channel.write(content)
+        except ConnectionCutError as error:
+            raise CallerGoneError from error
+
+
+class Handler(Protocol):
+    """Serve requests."""
+
+    async def handle(self, request: RawRequest, answer: CallerAnswer) -> None:
+        """Answer a request; an answer that is left open is cut."""
+
+
+class Listener:
+    """Accept connections and serve the requests on each in turn."""
+
+    def __init__(
+        self,
+        name: str,
+        address: tuple[str, int],
+        handler: Handler,
+        read_limits: Callable[[], CallerLimits],
+    ) -> None:
+        """Take where to listen, who serves, and the limits in force."""
+        self.name = name
+        self._address = address
+        self._handler = handler
+        self._read_limits = read_limits
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._idle: set[Channel] = set()
+        self.in_service_count = 0
+        # Set when this host leaves: answers then close their connections.
+        self.is_leaving = False
+
+    async def start(self) -> None:
+        """Listen; raise OSError when the address is taken."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._accept, *self._address, backlog=BACKLOG, reuse_address=True
+        )
+
+    def stop_accepting(self) -> None:
+        """Take no more connections."""
+        if self._server is not None:
+            self._server.close()
+
+    def close_idle(self) -> None:
+        """Close connections on which no request has begun."""
+        for channel in list(self._idle):
+            if not channel.has_unread:
+                channel.close()
+
+    @property
+    def connection_count(self) -> int:
+        """Return how many connections are open."""
+        return len(self._tasks)
+
+    @property
+    def limits(self) -> CallerLimits:
+        """Return the limits in force."""
+        return self._read_limits()
+
+    async def answer(self, request: RawRequest, answer: CallerAnswer) -> None:
+        """Have a request served and count it meanwhile."""
+        self.in_service_count += 1
+        answer.closes_connection = self.is_leaving
+        try:
+            await self._handler.handle(request, answer)
+        finally:
+            self.in_service_count -= 1
+
+    def note_idle(self, channel: Channel, *, is_idle: bool) -> None:
+        """Take whether a connection waits for a request."""
+        if is_idle:
+            self._idle.add(channel)
+        else:
+            self._idle.discard(channel)
+
+    def _accept(self) -> Channel:
+        channel = _AcceptedChannel(self._serve)
+        return channel
+
+    def _serve(self, channel: Channel) -> None:
+        connection = _Connection(self, channel)
+        task = asyncio.get_running_loop().create_task(connection.run())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+class _AcceptedChannel(Channel):
+    """Begin to serve once the connection is there."""
+
+    def __init__(self, begin: Callable[[Channel], None]) -> None:
+        super().__init__()
+        self._begin = begin
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self._begin(self)
+
+
+class _Connection:
+    """Serve the requests on one connection, one after the other."""
+
+    def __init__(self, listener: Listener, channel: Channel) -> None:
+        self._listener = listener
+        self._channel = channel
+        self._parser = _new_parser(listener.limits)
+
+    async def run(self) -> None:
+        try:
+            while await self._serve_next():
+                self._parser.start_next_cycle()
+        except CallerGoneError:
+            self._channel.abort()
+        except asyncio.CancelledError:
+            # The caller has left; its request was given up on the way here.
+            self._channel.abort()
+        except Exception as error:
+            logs.error(
+                'connection_failed',
+                listener=self._listener.name,
+                reason=repr(error),
+            )
+            self._channel.abort()
+        finally:
+            self._listener.note_idle(self._channel, is_idle=False)
+            self._channel.close()
+
+    async def _serve_next(self) -> bool:
+        request = await self._read_or_refuse()
+        if request is None:
+            return False
+        answer = CallerAnswer(
+            self._channel, self._parser, request.method == b'HEAD'
+        )
+        await self._watched(self._listener.answer(request, answer))
+        if not answer.is_finished:
+            # Without its end the answer must not look whole.
+            self._channel.abort()
+            return False
+        return (
+            self._parser.our_state is h11.DONE
+            and self._parser.their_state is h11.DONE
+        )
+
+    async def _watched(self, work: Awaitable[None]) -> None:
+        """Serve, and stop as soon as the caller leaves."""
+        task = asyncio.current_task()
+        if task is None or self._channel.is_gone:
+            asyncio.ensure_future(work).cancel()
+            raise CallerGoneError
+        self._channel.on_gone = task.cancel
+        try:
+            await work
+        finally:
+            self._channel.on_gone = None
+
+    async def _read_or_refuse(self) -> RawRequest | None:
+        try:
+            return await self._read()
+        except ConnectionCutError:
+            return None
+        except MalformedRequestError as error:
+            await self._refuse(error.status, str(error))
+            return None
+
+    async def _refuse(self, status: int, reason: str) -> None:
+        logs.warning(
+            'request_malformed',
+            listener=self._listener.name,
+            status=status,
+            reason=reason,
+        )
+        if self._parser.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
+            return
+        answer = CallerAnswer(self._channel, self._parser, is_head=False)
+        answer.closes_connection = True
+        await answer.whole(status, [], b'')
+
+    async def _read(self) -> RawRequest | None:
+        limits = self._listener.limits
+        if not await self._wait_for_request(limits):
+            return None
+        try:
+            async with asyncio.timeout(limits.head_timeout_seconds):
+                head = await self._next_event()
+        except TimeoutError as error:
+            raise MalformedRequestError(408, 'head not read in time') from error
+        if not isinstance(head, h11.Request):
+            return None
+        try:
+            async with asyncio.timeout(limits.idle_timeout_seconds):
+                body = await self._read_body(limits.body_bytes)
+        except TimeoutError as error:
+            raise MalformedRequestError(408, 'body not read in time') from error
+        return RawRequest(
+            head.method, head.target, list(head.headers.raw_items()), body
+        )
+
+    async def _wait_for_request(self, limits: CallerLimits) -> bool:
+        if self._parser.trailing_data[0] or self._channel.has_unread:
+            return True
+        seconds = limits.idle_timeout_seconds + IDLE_MARGIN_SECONDS
+        self._listener.note_idle(self._channel, is_idle=True)
+        try:
+            async with asyncio.timeout(seconds):
+                content = await self._channel.read()
+        except TimeoutError:
+            return False
+        finally:
+            self._listener.note_idle(self._channel, is_idle=False)
+        if not content:
+            return False
+        self._parser.receive_data(content)
+        return True
+
+    async def _read_body(self, limit_bytes: int) -> bytes:
+        body = bytearray()
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return bytes(body)
+            if not isinstance(event, h11.Data):
+                raise ConnectionCutError('the caller left inside a body')
+            body += event.data
+            if len(body) > limit_bytes:
+                raise MalformedRequestError(413, 'the body is too large')
+
+    async def _next_event(self) -> object:
+        event = self._parse()
+        while event is h11.NEED_DATA:
+            self._invite_body()
+            content = await self._channel.read()
+            if not content:
+                raise ConnectionCutError('the caller left inside a request')
+            self._parser.receive_data(content)
+            event = self._parse()
+        return event
+
+    def _parse(self) -> object:
+        try:
+            return self._parser.next_event()
+        except h11.RemoteProtocolError as error:
+            raise MalformedRequestError(
+                error.error_status_hint, str(error)
+            ) from error
+
+    def _invite_body(self) -> None:
+        if self._parser.they_are_waiting_for_100_continue:
+            event = h11.InformationalResponse(status_code=100, headers=[])
+            self._channel.send(self._parser.send(event) or b'')
+
+
+def _new_parser(limits: CallerLimits) -> h11.Connection:
+    return h11.Connection(
+        h11.SERVER, max_incomplete_event_size=limits.head_bytes + 4096
+    )
--- /dev/null
+++ b/jacinthfold/proxy/messages.py
@@ -0,0 +1,159 @@
+"""Hold requests and answers while they pass through."""
+
+from jacinthfold.catalogue.model import Route
+
+Headers = list[tuple[bytes, bytes]]
+
+# Headers that concern one connection only (RFC 9110, section 7.6.1).
+CONNECTION_HEADERS = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    )
+)
+FRAMING_HEADERS = CONNECTION_HEADERS | {b'content-length', b'expect'}
+
+
+class PromptPart:
+    """Hold one part of a prompt, which other requests may share."""
+
+    __slots__ = ('name', 'tokens')
+
+    def __init__(self, name: str, tokens: int) -> None:
+        """Take the part's name and its length in tokens."""
+        self.name = name
+        self.tokens = tokens
+
+
+class RequestFacts:
+    """Hold what a request's headers say about it."""
+
+    __slots__ = (
+        'host_name',
+        'last_event_id',
+        'output_tokens',
+        'parts',
+        'patience_seconds',
+        'prompt_tokens',
+        'request_id',
+    )
+
+    def __init__(self, request_id: str, host_name: str) -> None:
+        """Take the caller's identifier and the host name asked for."""
+        self.request_id = request_id
+        self.host_name = host_name
+        # How long the caller will wait; None when it does not say.
+        self.patience_seconds: float | None = None
+        self.prompt_tokens = 0
+        self.output_tokens = 0
+        self.parts: tuple[PromptPart, ...] = ()
+        self.last_event_id = ''
+
+
+class Request:
+    """Hold a request that was read whole."""
+
+    __slots__ = (
+        'attempts_before',
+        'body',
+        'deadline',
+        'facts',
+        'headers',
+        'is_relayed',
+        'method',
+        'path',
+        'received_at',
+        'route',
+        'service_name',
+        'target',
+    )
+
+    def __init__(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+        body: bytes,
+        facts: RequestFacts,
+    ) -> None:
+        """Take the parts as they came."""
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.facts = facts
+        self.path = target.split(b'?', 1)[0].decode('latin-1')
+        self.received_at = 0.0
+        self.deadline = 0.0
+        self.route = Route('', '', '', (('', 1),))
+        self.service_name = ''
+        # A request that another entry host passed on is served here or not
+        # at all: passed on again, two full regions would play ball with it.
+        self.is_relayed = False
+        self.attempts_before = 0
+
+
+class AnswerFacts:
+    """Hold what a target's headers say about its answer."""
+
+    __slots__ = (
+        'cold_seconds',
+        'idle_seconds',
+        'is_not_run',
+        'is_sealed',
+        'request_id',
+    )
+
+    def __init__(self) -> None:
+        """Start with what an answer without such headers says."""
+        self.request_id = ''
+        self.is_not_run = False
+        self.is_sealed = False
+        self.idle_seconds: float | None = None
+        self.cold_seconds: float | None = None
+
+
+class AnswerHead:
+    """Hold status and headers of an answer."""
+
+    __slots__ = ('facts', 'headers', 'length', 'status')
+
+    def __init__(
+        self, status: int, headers: Headers, facts: AnswerFacts
+    ) -> None:
+        """Take the status, the headers as they came and what they say."""
+        self.status = status
+        self.headers = headers
+        self.facts = facts
+        self.length: int | None = None
+
+    def passed_headers(self) -> Headers:
+        """Return the headers that concern more than one connection."""
+        return without_framing(self.headers)
+
+
+def without_framing(headers: Headers) -> Headers:
+    """Return headers that are not about the connection or its framing."""
+    named = {
+        token.strip().lower()
+        for name, content in headers
+        if name.lower() == b'connection'
+        for token in content.split(b',')
+    }
+    dropped = FRAMING_HEADERS | named
+    return [pair for pair in headers if pair[0].lower() not in dropped]
+
+
+def first_header(headers: Headers, name: bytes) -> bytes:
+    """Return the content of the first header of a name, or nothing."""
+    for found, content in headers:
+        if found.lower() == name:
+            return content
+    return b''
--- /dev/null
+++ b/jacinthfold/proxy/progress.py
@@ -0,0 +1,73 @@
+"""Hold what has happened to a request so far."""
+
+from jacinthfold.placement.choice import Choice, PassTo, Refuse, SendTo
+from jacinthfold.proxy.messages import Request
+from jacinthfold.proxy.outcome import Ending, Outcome
+
+DEFAULT_RETURN_SECONDS = 0.5
+
+
+class Progress:
+    """Follow a request through its attempts."""
+
+    __slots__ = (
+        'after_seconds',
+        'ending',
+        'failed',
+        'is_out',
+        'last_event_id',
+        'last_place',
+        'reason',
+        'runs',
+        'sends',
+        'tried',
+        'tried_regions',
+        'turned_down',
+    )
+
+    def __init__(self, request: Request) -> None:
+        """Start with no attempt."""
+        self.tried: set[str] = set()
+        self.tried_regions: set[str] = set()
+        self.sends = 0
+        self.runs = 0
+        self.turned_down = 0
+        self.last_event_id = request.facts.last_event_id
+        self.last_place = ''
+        self.reason = ''
+        # Set while an attempt is under way whose outcome is not known.
+        self.is_out = False
+        self.ending: Ending | None = None
+        self.failed: Outcome | None = None
+        self.after_seconds = DEFAULT_RETURN_SECONDS
+
+    @property
+    def may_have_run(self) -> bool:
+        """Tell whether any target may have begun to work on the request."""
+        return self.is_out or self.runs > 0
+
+    def note_refused(self, refusal: Refuse) -> None:
+        """Take that nothing could be chosen."""
+        self.reason = self.reason or refusal.reason
+        self.after_seconds = refusal.after_seconds
+
+    def note(self, choice: Choice, outcome: Outcome) -> None:
+        """Take how an attempt ended."""
+        self.sends += 1
+        self.is_out = False
+        if isinstance(choice, SendTo):
+            self.last_place = choice.estimate.target.record.instance
+            self.tried.add(self.last_place)
+        if isinstance(choice, PassTo):
+            self.last_place = choice.region.name
+            self.tried_regions.add(choice.region.name)
+        self.reason = outcome.reason
+        self.ending = outcome.ending
+        if outcome.after_seconds is not None:
+            self.after_seconds = outcome.after_seconds
+        if outcome.ending is Ending.NOT_RUN:
+            self.turned_down += 1
+            return
+        self.runs += 1
+        if outcome.ending is Ending.FAILED:
+            self.failed = outcome
--- /dev/null
+++ b/jacinthfold/proxy/relay_header.py
@@ -0,0 +1,73 @@
+"""Write and read what entry hosts tell each other about a request."""
+
+import json
+
+from jacinthfold.catalogue.model import Repetition, Route
+from jacinthfold.proxy.messages import Headers, Request, first_header
+
+# Both are dropped from what callers send and from what targets get.
+REQUEST_HEADER = b'jacinthfold-passed'
+ANSWER_HEADER = b'jacinthfold-outcome'
+INTERNAL_HEADERS = frozenset((REQUEST_HEADER, ANSWER_HEADER))
+
+
+TOLD_NOT_RUN = b'not_run'
+TOLD_UNKNOWN = b'unknown'
+
+
+def told(outcome: bytes) -> Headers:
+    """Return the header that tells an entry host how a request ended."""
+    return [(ANSWER_HEADER, outcome)]
+
+
+def without_internal(headers: Headers) -> Headers:
+    """Return headers without those that only entry hosts may set."""
+    return [
+        (name, content)
+        for name, content in headers
+        if name.lower() not in INTERNAL_HEADERS
+    ]
+
+
+def write(
+    request: Request, left_seconds: float, elapsed_seconds: float
+) -> Headers:
+    """Return the header that passes a request's route to another host."""
+    route = request.route
+    # The receiver may hold an older configuration: it goes by ours.
+    document = {
+        'service': request.service_name,
+        'stream': route.is_stream,
+        'repetition': route.repetition.value,
+        'aim_seconds': route.aim_seconds,
+        'gap_aim_seconds': route.gap_aim_seconds,
+        'priority': route.priority,
+        'max_attempts': max(1, route.max_attempts - request.attempts_before),
+        'homes': sorted(route.home_regions),
+        'left_seconds': round(left_seconds, 3),
+        'elapsed_seconds': round(elapsed_seconds, 3),
+    }
+    content = json.dumps(document, separators=(',', ':')).encode()
+    return [(REQUEST_HEADER, content)]
+
+
+def read(request: Request, now: float) -> None:
+    """Take the route that another host wrote; raise ValueError."""
+    content = first_header(request.headers, REQUEST_HEADER)
+    if not content:
+        raise ValueError('not passed on by an entry host')
+    document = json.loads(content)
+    route = Route('passed', '', '', ((document['service'], 1),))
+    route.is_stream = document['stream']
+    route.repetition = Repetition(document['repetition'])
+    route.aim_seconds = document['aim_seconds']
+    route.gap_aim_seconds = document['gap_aim_seconds']
+    route.priority = document['priority']
+    route.max_attempts = document['max_attempts']
+    route.home_regions = frozenset(document['homes'])
+    route.timeout_seconds = document['left_seconds']
+    request.route = route
+    request.service_name = document['service']
+    request.is_relayed = True
+    request.received_at = now - document['elapsed_seconds']
+    request.deadline = now + document['left_seconds']
--- a/tools/binary.py
+++ b/tools/binary.py
@@ -55,8 +55,8 @@
 def main() -> None:
     """Build and print the figures."""
     build()
-    memory = '/dev/shm' if Path('/dev/shm').is_dir() else None
-    with tempfile.TemporaryDirectory(dir=memory) as folder:
+    # TMPDIR may name a memory file system, which is what hosts unpack to.
+    with tempfile.TemporaryDirectory() as folder:
         first = run_version(folder)
         later = [run_version(folder) for _ in range(5)]
         unpacked = sum(
