--- a/jacinthfold/proxy/listener.py
+++ b/jacinthfold/proxy/listener.py
@@ -347,8 +347,8 @@
 
 def _check_size(head: h11.Request, limit_bytes: int) -> None:
     # The parser bounds only heads that come in several pieces.
-    size = len(head.method) + len(head.target)
-    size += sum(len(name) + len(held) + 4 for name, held in head.headers)
+    sizes = [len(name) + len(held) for name, held in head.headers]
+    size = sum(sizes) + len(head.target)
     if size > limit_bytes:
         raise MalformedRequestError(431, f'a head of {size} bytes')
 
