--- a/jacinthfold/placement/choice.py
+++ b/jacinthfold/placement/choice.py
@@ -158,6 +158,9 @@
             for target in self._targets.of(service, self._region)
             if target.record.data_centre not in self._targets.evacuated
             and target.record.instance not in tried
+            # Nothing listens there. As the seemingly idlest target it would
+            # take request after request that another region could serve.
+            and target.unreachable_until <= now
             and self._is_warm_enough(target, now)
         ]
         staying = [one for one in here if one.last_resort_until is None]
--- a/jacinthfold/placement/targets.py
+++ b/jacinthfold/placement/targets.py
@@ -44,6 +44,7 @@
         'reported',
         'seconds_per_call',
         'slowness',
+        'unreachable_until',
     )
 
     def __init__(self, record: TargetRecord) -> None:
@@ -54,6 +55,7 @@
         self.cold_until = 0.0
         self.paced_until = 0.0
         self.ejected_until = 0.0
+        self.unreachable_until = 0.0
         self.failures = 0
         self.failing_share = 0.0
         self.slowness = 1.0
@@ -116,7 +118,16 @@
                 limits.EJECT_SECONDS * 2**doublings,
                 limits.EJECT_LIMIT_SECONDS,
             )
-            self.ejected_until = now + seconds
+            self._set_aside(now, seconds, is_unreachable=is_unreachable)
+
+    def _set_aside(
+        self, now: float, seconds: float, *, is_unreachable: bool
+    ) -> None:
+        was_aside = self.ejected_until > now
+        self.ejected_until = now + seconds
+        if is_unreachable:
+            self.unreachable_until = now + seconds
+        if not was_aside:
             logs.warning(
                 'target_set_aside',
                 target=self.record.instance,
