--- a/jacinthfold/placement/choice.py
+++ b/jacinthfold/placement/choice.py
@@ -17,13 +17,7 @@
 class Estimate:
     """Hold when a target's first event is expected, and why."""
 
-    __slots__ = (
-        'cached_tokens',
-        'own_seconds',
-        'seconds',
-        'target',
-        'wait_seconds',
-    )
+    __slots__ = ('cached_tokens', 'seconds', 'target', 'wait_seconds')
 
     def __init__(
         self,
@@ -35,7 +29,6 @@
         """Take the wait for others and the request's own time."""
         self.target = target
         self.wait_seconds = wait_seconds
-        self.own_seconds = own_seconds
         self.seconds = wait_seconds + own_seconds
         self.cached_tokens = cached_tokens
 
@@ -243,8 +236,7 @@
         # that is merely late: most failures can't be made good.
         risk = target.failing_share**2
         jitter = self._random.uniform(0, 0.004)
-        cost = estimate.wait_seconds + estimate.own_seconds * limits.READ_WEIGHT
-        return cost * max(1.0, target.slowness) + risk + jitter
+        return estimate.seconds * max(1.0, target.slowness) + risk + jitter
 
     def _seconds_allowed(self, request: Request, *, is_repeat: bool) -> float:
         now = self._clock.monotonic()
--- a/jacinthfold/placement/limits.py
+++ b/jacinthfold/placement/limits.py
@@ -6,9 +6,6 @@
 # Time from the end of reading to the first event: one batch of decoding,
 # measured on an idle engine.
 FIRST_EVENT_SECONDS = 0.06
-# Weight of a request's own reading against its wait for others: reading
-# again what another engine keeps takes time from the requests behind it.
-READ_WEIGHT = 1.7
 # What each request already running adds to the first event of another.
 RUNNING_SECONDS = 0.0015
 # What a plain service's call takes until its own pace has been measured.
