--- a/jacinthfold/cli.py
+++ b/jacinthfold/cli.py
@@ -4,7 +4,7 @@
 import json
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, TextIO
 
 import click
 
@@ -226,6 +226,27 @@
     platform_program.run(path)
 
 
+@program.command('explain')
+@click.argument('request_id')
+@click.argument('files', nargs=-1, type=click.File('r', errors='replace'))
+@click.pass_obj
+def explain(
+    env: Environment, request_id: str, files: tuple[TextIO, ...]
+) -> None:
+    """Tell a request's story from logs of hosts (FILES or standard input)."""
+    from jacinthfold.explain import story
+
+    lines = [line for one in files or (env.stdin,) for line in one]
+    told = story(lines, request_id)
+    if not told:
+        raise CommandError(
+            f'no line about {request_id} in {len(lines)} lines',
+            ExitStatus.ERROR,
+        )
+    for line in told:
+        click.echo(line, file=env.stdout)
+
+
 @standin.command('platform')
 @_standin_options
 @click.option('--writes-per-second', default=300, help='Rate of writes.')
--- /dev/null
+++ b/jacinthfold/explain.py
@@ -0,0 +1,94 @@
+"""Tell the story of one request from the logs of many hosts."""
+
+import re
+from collections.abc import Iterable
+from datetime import datetime
+
+# A host's request line holds the identifier under this key; an answer that
+# came on the wrong connection names it under the second one.
+_REQUEST = re.compile(r'\b(?:request|answers)=(?P<id>"[^"]*"|\S+)')
+_TIME = re.compile(r'\btime=(?P<time>\S+)')
+_HOST = re.compile(r'\bhost=(?P<host>\S+)')
+_EVENT = re.compile(r'\bevent=(?P<event>\S+)')
+_TARGET = re.compile(r'\b(?:target|at)=(?P<target>\S+)')
+# Changes of belief this long before and during a request are part of its
+# story: a target that was set aside, a store that was lost.
+BELIEF_SECONDS = 5.0
+
+
+class LogLine:
+    """Hold what one line says."""
+
+    __slots__ = ('event', 'host', 'request_id', 'target', 'text', 'time')
+
+    def __init__(self, text: str) -> None:
+        """Take a line of a log."""
+        self.text = text.strip()
+        self.time = _group(_TIME, text, 'time')
+        self.host = _group(_HOST, text, 'host')
+        self.event = _group(_EVENT, text, 'event')
+        self.target = _group(_TARGET, text, 'target')
+        self.request_id = _group(_REQUEST, text, 'id').strip('"')
+
+
+def story(lines: Iterable[str], request_id: str) -> list[str]:
+    """Return the lines about a request, in the order of their times.
+
+    Lines about the targets that it met are included: they tell what its
+    hosts believed.
+    """
+    parsed = [LogLine(text) for text in lines if 'event=' in text]
+    own = [line for line in parsed if line.request_id == request_id]
+    if not own:
+        return []
+    hosts = {line.host for line in own}
+    targets = {line.target for line in own if line.target}
+    beliefs = [
+        line
+        for line in parsed
+        if not line.request_id
+        and line.host in hosts
+        and (line.target in targets or line.event in _HOST_EVENTS)
+    ]
+    told = sorted([*own, *beliefs], key=_when)
+    first = min(line.time for line in own)
+    last = max(line.time for line in own)
+    return [line.text for line in told if _is_near(line, first, last)]
+
+
+_HOST_EVENTS = frozenset(
+    (
+        'host_started',
+        'host_leaving',
+        'host_stopped',
+        'routes_in_force',
+        'evacuation',
+        'store_lost',
+        'store_reached',
+        'settings_reloaded',
+    )
+)
+
+
+def _is_near(line: LogLine, first: str, last: str) -> bool:
+    if line.request_id:
+        return True
+    return line.time <= last and _seconds(first) - _seconds(line.time) < (
+        BELIEF_SECONDS
+    )
+
+
+def _seconds(time: str) -> float:
+    try:
+        return datetime.fromisoformat(time).timestamp()
+    except ValueError:
+        return 0.0
+
+
+def _when(line: LogLine) -> str:
+    return line.time
+
+
+def _group(pattern: re.Pattern[str], text: str, name: str) -> str:
+    found = pattern.search(text)
+    return found.group(name) if found else ''
--- a/jacinthfold/gateway/knowledge.py
+++ b/jacinthfold/gateway/knowledge.py
@@ -27,7 +27,7 @@
 from jacinthfold.proxy.http_call import HttpCaller
 from jacinthfold.proxy.pool import Pool
 
-HOUSEKEEPING_SECONDS = 0.25
+HOUSEKEEPING_SECONDS = 0.1
 
 
 class Knowledge:
--- /dev/null
+++ b/tests/gateway/test_explain.py
@@ -0,0 +1,57 @@
+"""From a request's identifier to its cause, by logs alone."""
+
+import io
+
+from jacinthfold.context import Environment
+from jacinthfold.core import main
+from jacinthfold.explain import story
+from jacinthfold.status import ExitStatus
+
+DAY = '2026-01-01T'
+
+
+def line(time, event, host='a', **fields):
+    """Return a line as a host writes it."""
+    pairs = ' '.join(f'{name}={held}' for name, held in fields.items())
+    return (
+        f'time={DAY}{time}+00:00 level=info event={event} host={host} {pairs}'
+    )
+
+
+LINES = [
+    line('10:00:03', 'attempt_failed', request='r1', at='i-1'),
+    line('10:00:01', 'request_placed', request='r1', target='i-1'),
+    line('10:00:00.5', 'target_set_aside', target='i-1'),
+    line('10:00:00.6', 'target_set_aside', target='i-2'),
+    line('10:00:00.7', 'target_set_aside', host='b', target='i-1'),
+    line('10:00:02', 'request_placed', request='r2', target='i-1'),
+    line('09:50:00', 'target_known', target='i-1'),
+    'noise that is no log line',
+]
+
+
+def test_story_has_the_request_and_what_its_host_believed():
+    told = story(LINES, 'r1')
+    assert [one.split()[2] for one in told] == [
+        'event=target_set_aside',
+        'event=request_placed',
+        'event=attempt_failed',
+    ]
+    assert all('host=a' in one and 'i-2' not in one for one in told)
+
+
+def test_command_reads_standard_input_and_files(tmp_path):
+    out, text = io.StringIO(), '\n'.join(LINES)
+    env = Environment(stdin=io.StringIO(text), stdout=out)
+    assert main(['explain', 'r2'], env) is ExitStatus.SUCCESS
+    assert 'request=r2' in out.getvalue()
+    path = tmp_path / 'a.log'
+    path.write_text(text)
+    assert main(['explain', 'r1', str(path)], env) is ExitStatus.SUCCESS
+
+
+def test_command_says_when_nothing_is_known():
+    err = io.StringIO()
+    env = Environment(stdin=io.StringIO(''), stdout=io.StringIO(), stderr=err)
+    assert main(['explain', 'r9'], env) is ExitStatus.ERROR
+    assert err.getvalue().startswith('error: no line about r9')
