--- a/tools/write_settings.py
+++ b/tools/write_settings.py
@@ -3,6 +3,7 @@
 import sys
 from pathlib import Path
 
+from jacinthfold.gateway.settings import GATEWAY_OPTIONS
 from jacinthfold.options import OPTIONS, Option
 
 PAGE = Path('docs/SETTINGS.md')
@@ -29,6 +30,16 @@
 with every setting. This page and the sample are written from the program's own
 options by `python -m tools.write_settings`; a test compares them.
 """
+GATEWAY_INTRODUCTION = """# Settings of hosts that follow a metadata store
+
+`jacinthfold gateway --settings FILE`. `deploy/gateway.ini` is the template that
+the platform fills in. SIGHUP, or a change of the file, reads it again; `seeds` are
+taken over at once, addresses and ports at the next start. Beside these sections,
+`[data_centres]` gives the region of each data centre, a line each.
+
+Limits, weights and times of decisions are constants with their source beside them:
+`jacinthfold/placement/limits.py`, and at the head of each module.
+"""
 
 
 def page() -> str:
@@ -40,6 +51,13 @@
         parts.append('|---|---|---|---|')
         parts.extend(row(key, option) for key, option in options.items())
         parts.append('')
+    parts.append(GATEWAY_INTRODUCTION)
+    for section, options in GATEWAY_OPTIONS.items():
+        parts.append(f'### [{section}]\n')
+        parts.append('| key | allowed | default | what it is |')
+        parts.append('|---|---|---|---|')
+        parts.extend(row(key, option) for key, option in options.items())
+        parts.append('')
     return '\n'.join(parts)
 
 
