--- a/jacinthfold/placement/targets.py
+++ b/jacinthfold/placement/targets.py
@@ -48,6 +48,7 @@
         'ejected_until',
         'failing_share',
         'failures',
+        'is_removed',
         'last_resort_until',
         'own',
         'paced_until',
@@ -74,6 +75,7 @@
         # None while the target stays; else until when it may be used if
         # nothing else is left.
         self.last_resort_until: float | None = None
+        self.is_removed = False
         self.cached: OrderedDict[str, float] = OrderedDict()
 
     @property
@@ -198,10 +200,11 @@
                 data_centre=record.data_centre,
                 cold_seconds=record.cold_seconds,
             )
-        was_draining = target.record.is_draining
+        is_staying = target.last_resort_until is None
         target.record = record
+        target.is_removed = False
         self._note_cold(target, record.cold_seconds, now)
-        if record.is_draining and not was_draining:
+        if record.is_draining and is_staying:
             self._note_leaving(target, now, record.remaining_seconds)
         if not record.is_draining:
             # A record that lapsed with the store and came back.
@@ -210,7 +213,10 @@
     def remove(self, instance: str) -> None:
         """Take that a target's record is gone."""
         target = self._targets.get(instance)
-        if target is not None and target.last_resort_until is None:
+        if target is None:
+            return
+        target.is_removed = True
+        if target.last_resort_until is None:
             self._note_leaving(target, self._clock.monotonic(), None)
 
     def evacuate(self, data_centre: str, *, is_evacuated: bool) -> None:
@@ -233,9 +239,9 @@
         gone = [
             target
             for target in self._targets.values()
-            if target.last_resort_until is not None
+            if target.is_removed
+            and target.last_resort_until is not None
             and target.last_resort_until < now
-            and not target.record.is_draining
             and not target.own.requests
         ]
         for target in gone:
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -283,6 +283,32 @@
     assert isinstance(scene.choose(scene.request()), Refuse)
 
 
+def test_target_first_seen_when_it_leaves_is_leaving():
+    """A target comes back and drains before any host has heard of it.
+
+    Its first record says so already. Taken for one that stays, it would get
+    requests until its record vanishes, seconds after it was to get none.
+    """
+    scene = Scene()
+    scene.add('i-1', is_draining=True)
+    scene.add('i-2')
+    for _ in range(8):
+        assert scene.instance(scene.request()) == 'i-2'
+    scene.targets.remove('i-2')
+    scene.clock.advance(limits.LAST_RESORT_SECONDS + 0.01)
+    assert isinstance(scene.choose(scene.request()), Refuse)
+
+
+def test_drained_target_is_forgotten_once_its_record_is_gone():
+    scene = Scene()
+    scene.add('i-1', is_draining=True)
+    scene.clock.advance(limits.LAST_RESORT_SECONDS + 0.01)
+    assert not scene.targets.forget_gone()
+    scene.targets.remove('i-1')
+    assert len(scene.targets.forget_gone()) == 1
+    assert not scene.targets.all()
+
+
 def test_plain_service_prefers_free_places():
     scene = Scene()
     scene.add('i-1', 'desk', slots=6).own = Load(9)
