Few hosts of a large region watch the store; fewer heartbeats to other regions

Cause: with 64 hosts each one watched the store and told every other one of itself.

In regions of more than ten hosts two of each data centre watch; the others hear that a neighbour is ahead and ask it what changed since their revision. Watchers that fall silent or lose the store are replaced by the next in order. A heartbeat to another region goes to three of its hosts.

Ruled out: a tree with a fixed root (a cut takes all below it); digests of live hosts (the few that are heard are enough to pass requests on).

Small regions do as before.

--- a/jacinthfold/catalogue/follower.py
+++ b/jacinthfold/catalogue/follower.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+from collections.abc import Callable
 from typing import Any
 
 from jacinthfold import logs
@@ -41,6 +42,8 @@
         self._is_listed = False
         self.heard_at = -1.0
         self.is_reached = False
+        # Whether this host watches the store, or leaves that to neighbours.
+        self.watches: Callable[[], bool] = lambda: True
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -63,6 +66,9 @@
             self._is_listed = True
             self._note_reached()
             return
+        if not self.watches():
+            await asyncio.sleep(GATHER_SECONDS)
+            return
         since = self._catalogue.revision
         changes, revision = await self._store.changes_since(
             since, WATCH_SECONDS
@@ -96,17 +102,20 @@
         self._store = store
         self._own = own
         self._lease = 0
+        self.is_reached = True
 
     async def run(self) -> None:
         """Stay registered until cancelled."""
         while True:
             try:
                 await self._step()
+                self.is_reached = True
             except LeaseLostError:
                 logs.warning('registration_lost', lease=self._lease)
                 self._lease = 0
                 continue
             except MetadataError as error:
+                self.is_reached = False
                 logs.warning('registration_failed', reason=str(error))
             await asyncio.sleep(random.uniform(0.8, 1.0) * RENEW_SECONDS)
 
--- a/jacinthfold/catalogue/records.py
+++ b/jacinthfold/catalogue/records.py
@@ -1,5 +1,6 @@
 """Keep the store's records as this host knows them."""
 
+from collections import deque
 from collections.abc import Callable, Iterable, Mapping
 from enum import Enum
 from typing import Any, Protocol
@@ -8,6 +9,9 @@
 from jacinthfold.catalogue.model import HostRecord, RouteTable, TargetRecord
 from jacinthfold.clock import Clock
 
+# Removals that are remembered for hosts that ask what changed.
+REMOVALS_KEPT = 500
+
 
 class Record:
     """Hold one item of the store; no content means it was removed."""
@@ -78,6 +82,9 @@
         self._clock = clock
         self._records: dict[str, Record] = {}
         self._listeners: list[CatalogueListener] = []
+        self._removals: deque[Record] = deque()
+        # Every removal after this revision is remembered.
+        self._removals_since = 0
         self.revision = 0
         self.changed_at = clock.monotonic()
         self.routes: RouteTable | None = None
@@ -91,6 +98,13 @@
         """Return every record that is known."""
         return list(self._records.values())
 
+    def changes_since(self, revision: int) -> list[Record] | None:
+        """Return what changed after a revision, None if not all is known."""
+        if revision < self._removals_since:
+            return None
+        known = [*self._records.values(), *self._removals]
+        return [record for record in known if record.revision > revision]
+
     def apply(self, records: Iterable[Record], revision: int) -> None:
         """Take changes up to a revision of the store."""
         for record in sorted(records, key=_by_revision):
@@ -103,6 +117,8 @@
         # requests would go to targets that left.
         if revision < self.revision:
             return
+        # What was removed before the list was made is not in it.
+        self._removals_since = max(self._removals_since, revision)
         listed = list(records)
         kept = {record.key for record in listed}
         for key, known in list(self._records.items()):
@@ -110,6 +126,11 @@
                 self._apply_one(Record(key, revision, None))
         self.apply(listed, revision)
 
+    def _remember_removal(self, record: Record) -> None:
+        self._removals.append(record)
+        if len(self._removals) > REMOVALS_KEPT:
+            self._removals_since = self._removals.popleft().revision
+
     def _advance(self, revision: int) -> None:
         if revision > self.revision:
             self.revision = revision
@@ -123,6 +144,7 @@
             if known is None:
                 return
             self._records.pop(record.key)
+            self._remember_removal(record)
         else:
             self._records[record.key] = record
         try:
--- a/jacinthfold/fleet/heartbeats.py
+++ b/jacinthfold/fleet/heartbeats.py
@@ -7,13 +7,15 @@
 
 import asyncio
 import json
+import random
+from collections.abc import Callable
 from typing import Any, Protocol, cast
 
 from jacinthfold import logs
 from jacinthfold.catalogue.follower import encode_host, host_of
 from jacinthfold.catalogue.records import Catalogue
 from jacinthfold.clock import Clock
-from jacinthfold.fleet.table import HostState, HostTable
+from jacinthfold.fleet.table import HostEntry, HostState, HostTable
 from jacinthfold.placement.regions import RegionReport, RegionView
 from jacinthfold.placement.targets import Load, TargetTable
 
@@ -23,6 +25,10 @@
 NEAR_HOSTS = 10
 # Other regions hear every third beat: bytes between regions are dear.
 REMOTE_EVERY_BEATS = 3
+# Hosts of another region that hear such a beat. One host's word on its region
+# is as good as another's, and told to all of them the bytes grow with the
+# square of the hosts: 64 hosts heard of a region 18 times a second, now 3.
+REMOTE_FANOUT = 3
 DATAGRAM_LIMIT_BYTES = 60000
 # A dead host refuses every datagram; one line in this time is enough.
 UNSENT_TOLD_SECONDS = 5.0
@@ -61,6 +67,8 @@
         self._count = 0
         self._unsent_count = 0
         self._unsent_told_at = float('-inf')
+        self._random = random.Random()
+        self.reaches_store: Callable[[], bool] = lambda: True
         self.seeds: tuple[Place, ...] = ()
 
     async def start(self) -> None:
@@ -81,13 +89,16 @@
         self._count += 1
         is_remote_due = self._count % REMOTE_EVERY_BEATS == 0
         content = self._message()
-        for place in self._places(is_remote_due=is_remote_due):
+        entries = self._near()
+        if is_remote_due:
+            entries += self._some_remote()
+        for place in self._places(entries):
             self._send(content, place)
 
     def announce(self) -> None:
         """Tell every host at once what this one is doing now."""
         content = self._message()
-        for place in self._places(is_remote_due=True):
+        for place in self._places(self._hosts.others()):
             self._send(content, place)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -123,22 +134,38 @@
         near = len(self._hosts.names_in(own.region))
         return min(BEAT_LIMIT_SECONDS, BEAT_SECONDS * max(1, near / NEAR_HOSTS))
 
-    def _places(self, *, is_remote_due: bool) -> list[Place]:
-        own = self._hosts.own
-        entries = self._hosts.others()
-        places = [
-            (entry.record.address, entry.record.relay_port)
-            for entry in entries
-            if is_remote_due or entry.record.region == own.region
+    def _near(self) -> list[HostEntry]:
+        region = self._hosts.own.region
+        return [
+            entry
+            for entry in self._hosts.others()
+            if entry.record.region == region
         ]
-        if not entries:
-            # Ports are the same on all hosts of a deployment.
-            places = [
-                (address, own.relay_port)
-                for address, _ in self.seeds
-                if address != own.address
+
+    def _some_remote(self) -> list[HostEntry]:
+        by_region: dict[str, list[HostEntry]] = {}
+        for entry in self._hosts.others():
+            by_region.setdefault(entry.record.region, []).append(entry)
+        by_region.pop(self._hosts.own.region, None)
+        some: list[HostEntry] = []
+        for entries in by_region.values():
+            count = min(REMOTE_FANOUT, len(entries))
+            some.extend(self._random.sample(entries, count))
+        return some
+
+    def _places(self, entries: list[HostEntry]) -> list[Place]:
+        if self._hosts.others():
+            return [
+                (entry.record.address, entry.record.relay_port)
+                for entry in entries
             ]
-        return places
+        # Ports are the same on all hosts of a deployment.
+        own = self._hosts.own
+        return [
+            (address, own.relay_port)
+            for address, _ in self.seeds
+            if address != own.address
+        ]
 
     def _send(self, content: bytes, place: Place) -> None:
         if self._transport is not None and len(content) < DATAGRAM_LIMIT_BYTES:
@@ -159,6 +186,7 @@
                 'host': self._own,
                 'state': self._hosts.own_state.value,
                 'revision': self._catalogue.revision,
+                'store': self.reaches_store(),
                 'loads': loads,
                 'rooms': self._rooms(),
             },
@@ -185,7 +213,12 @@
         if host.name == self._hosts.own.name:
             return
         state = HostState(message['state'])
-        self._hosts.note_heartbeat(host, state, message['revision'])
+        self._hosts.note_heartbeat(
+            host,
+            state,
+            message['revision'],
+            reaches_store=message['store'],
+        )
         now = self._clock.monotonic()
         rooms = message['rooms']
         if state is HostState.ACTIVE:
--- a/jacinthfold/fleet/snapshots.py
+++ b/jacinthfold/fleet/snapshots.py
@@ -3,7 +3,10 @@
 import asyncio
 import base64
 import json
+import random
+from collections.abc import Callable
 from typing import Any
+from urllib.parse import parse_qs, urlsplit
 
 from jacinthfold import logs
 from jacinthfold.catalogue.records import Catalogue, Record
@@ -38,6 +41,8 @@
         self._caller = caller
         self._clock = clock
         self.seeds: tuple[Place, ...] = ()
+        # Whether this host hears of changes from the store by itself.
+        self.watches: Callable[[], bool] = lambda: True
 
     async def run(self) -> None:
         """Catch up until cancelled."""
@@ -50,15 +55,17 @@
                 continue
             now = self._clock.monotonic()
             behind_since = now if behind_since is None else behind_since
-            is_new = self._catalogue.routes is None
-            if is_new or now - behind_since > BEHIND_SECONDS:
+            is_due = now - behind_since > BEHIND_SECONDS
+            if is_due or self._catalogue.routes is None or not self.watches():
                 await self._catch_up(ahead)
 
     def _places_ahead(self) -> list[Place]:
-        ahead = sorted(
-            self._hosts.ahead_of(self._catalogue.revision),
-            key=lambda entry: -entry.revision,
-        )
+        own_region = self._hosts.own.region
+        ahead = self._hosts.ahead_of(self._catalogue.revision)
+        # Any order among the near ones: asked by the highest revision, one
+        # host would get the calls of all that are behind.
+        random.shuffle(ahead)
+        ahead.sort(key=lambda entry: entry.record.region != own_region)
         places = [
             (entry.record.address, entry.record.control_port) for entry in ahead
         ]
@@ -76,42 +83,76 @@
     async def _take_from(self, place: Place) -> bool:
         peer = f'{place[0]}:{place[1]}'
         try:
-            content = await self._caller.get(place, SNAPSHOT_PATH, CALL_SECONDS)
-            records, revision = decode_snapshot(content)
+            path = f'{SNAPSHOT_PATH}?since={self._catalogue.revision}'
+            content = await self._caller.get(place, path, CALL_SECONDS)
+            snapshot = decode_snapshot(content)
         except (ProxyError, ValueError, KeyError) as error:
             logs.warning('snapshot_failed', peer=peer, reason=repr(error))
             return False
-        if revision <= self._catalogue.revision:
+        if snapshot.revision <= self._catalogue.revision:
             return False
         logs.event(
             'snapshot_taken',
             peer=peer,
-            revision=revision,
+            revision=snapshot.revision,
             before=self._catalogue.revision,
+            whole=snapshot.is_whole,
         )
-        self._catalogue.replace(records, revision)
+        if snapshot.is_whole:
+            self._catalogue.replace(snapshot.records, snapshot.revision)
+        else:
+            self._catalogue.apply(snapshot.records, snapshot.revision)
         return True
 
 
-def encode_snapshot(catalogue: Catalogue) -> bytes:
-    """Return all records and the revision as bytes."""
-    records = [
-        [
-            record.key,
-            record.revision,
-            base64.b64encode(record.content or b'').decode(),
-        ]
-        for record in catalogue.records()
-    ]
-    document = {'revision': catalogue.revision, 'records': records}
+class Snapshot:
+    """Hold records up to a revision: all, or those that changed."""
+
+    __slots__ = ('is_whole', 'records', 'revision')
+
+    def __init__(
+        self, records: list[Record], revision: int, *, is_whole: bool
+    ) -> None:
+        """Take the records; without content they were removed."""
+        self.records = records
+        self.revision = revision
+        self.is_whole = is_whole
+
+
+def encode_snapshot(catalogue: Catalogue, since: int) -> bytes:
+    """Return what changed after a revision, or all records, as bytes."""
+    changed = catalogue.changes_since(since) if since else None
+    records = catalogue.records() if changed is None else changed
+    document = {
+        'revision': catalogue.revision,
+        'whole': changed is None,
+        'records': [
+            [record.key, record.revision, _encoded(record.content)]
+            for record in records
+        ],
+    }
     return json.dumps(document, separators=(',', ':')).encode()
 
 
-def decode_snapshot(content: bytes) -> tuple[list[Record], int]:
-    """Return records and revision; raise ValueError or KeyError."""
+def decode_snapshot(content: bytes) -> Snapshot:
+    """Return a snapshot; raise ValueError or KeyError."""
     document: dict[str, Any] = json.loads(content)
     records = [
-        Record(key, revision, base64.b64decode(encoded))
+        Record(key, revision, _decoded(encoded))
         for key, revision, encoded in document['records']
     ]
-    return records, document['revision']
+    return Snapshot(records, document['revision'], is_whole=document['whole'])
+
+
+def since_of(target: str) -> int:
+    """Return the revision that a call asks from; raise ValueError."""
+    query = parse_qs(urlsplit(target).query)
+    return int(query.get('since', ['0'])[0])
+
+
+def _encoded(content: bytes | None) -> str | None:
+    return None if content is None else base64.b64encode(content).decode()
+
+
+def _decoded(encoded: str | None) -> bytes | None:
+    return None if encoded is None else base64.b64decode(encoded)
--- a/jacinthfold/fleet/table.py
+++ b/jacinthfold/fleet/table.py
@@ -26,7 +26,14 @@
 class HostEntry:
     """Hold a host and what its last heartbeat said."""
 
-    __slots__ = ('heard_at', 'is_registered', 'record', 'revision', 'state')
+    __slots__ = (
+        'heard_at',
+        'is_registered',
+        'reaches_store',
+        'record',
+        'revision',
+        'state',
+    )
 
     def __init__(self, record: HostRecord) -> None:
         """Take how the host is reached."""
@@ -35,6 +42,7 @@
         self.heard_at = float('-inf')
         self.revision = 0
         self.is_registered = False
+        self.reaches_store = True
 
 
 class HostTable:
@@ -59,7 +67,12 @@
         self._enter(record).is_registered = True
 
     def note_heartbeat(
-        self, record: HostRecord, state: HostState, revision: int
+        self,
+        record: HostRecord,
+        state: HostState,
+        revision: int,
+        *,
+        reaches_store: bool = True,
     ) -> None:
         """Take a heartbeat; one of an earlier incarnation changes nothing."""
         if record.name == self.own.name:
@@ -81,6 +94,7 @@
             entry.state = state
         entry.heard_at = self._clock.monotonic()
         entry.revision = revision
+        entry.reaches_store = reaches_store
 
     def others(self) -> list[HostEntry]:
         """Return all other hosts that may be alive."""
@@ -120,6 +134,17 @@
             and (entry.is_registered or self._is_live(entry))
         ]
 
+    def reaching_store(self, data_centre: str) -> list[str]:
+        """Return names of live hosts of a data centre that reach the store."""
+        return [
+            entry.record.name
+            for entry in self._entries.values()
+            if entry.record.data_centre == data_centre
+            and entry.reaches_store
+            and entry.state is HostState.ACTIVE
+            and self._is_live(entry)
+        ]
+
     def ahead_of(self, revision: int) -> list[HostEntry]:
         """Return live hosts that know a newer revision of the store."""
         return [
--- a/jacinthfold/gateway/handlers.py
+++ b/jacinthfold/gateway/handlers.py
@@ -9,7 +9,11 @@
 from jacinthfold.catalogue.records import Catalogue
 from jacinthfold.clock import Clock
 from jacinthfold.fleet.directory import ANSWER_SECONDS, Directory
-from jacinthfold.fleet.snapshots import SNAPSHOT_PATH, encode_snapshot
+from jacinthfold.fleet.snapshots import (
+    SNAPSHOT_PATH,
+    encode_snapshot,
+    since_of,
+)
 from jacinthfold.gateway.adapter import HostCalls
 from jacinthfold.gateway.leaving import Leaving
 from jacinthfold.proxy import relay_header
@@ -189,9 +193,15 @@
 
     async def handle(self, request: RawRequest, answer: CallerAnswer) -> None:
         """Answer a snapshot or the state."""
-        path = request.target.decode('latin-1')
+        target = request.target.decode('latin-1')
+        path = target.partition('?')[0]
         if path == SNAPSHOT_PATH:
-            body = encode_snapshot(self._catalogue)
+            try:
+                since = since_of(target)
+            except ValueError:
+                await answer.whole(HTTPStatus.BAD_REQUEST, [], b'')
+                return
+            body = encode_snapshot(self._catalogue, since)
         elif path == '/state':
             body = json.dumps(self._dump(), indent=1).encode()
         else:
--- a/jacinthfold/gateway/knowledge.py
+++ b/jacinthfold/gateway/knowledge.py
@@ -17,6 +17,7 @@
 from jacinthfold.fleet.heartbeats import Heartbeats
 from jacinthfold.fleet.snapshots import Snapshots
 from jacinthfold.fleet.table import HostState, HostTable
+from jacinthfold.fleet.watchers import Watchers
 from jacinthfold.gateway.adapter import Adapter
 from jacinthfold.gateway.settings import GatewaySettings
 from jacinthfold.placement.budget import RetryBudgets
@@ -66,7 +67,11 @@
             self.placer,
             clock,
         )
+        self.heartbeats.reaches_store = self._reaches_store
         self.snapshots = Snapshots(self.hosts, self.catalogue, caller, clock)
+        watchers = Watchers(self.hosts)
+        self.follower.watches = watchers.own_watches
+        self.snapshots.watches = watchers.own_watches
         retries = settings.retries
         self.budgets = RetryBudgets(
             retries.ratio, retries.slack, retries.window_seconds, clock
@@ -164,6 +169,11 @@
             ],
         }
 
+    def _reaches_store(self) -> bool:
+        # A host that leaves watching to others learns from its lease alone.
+        is_followed = self.follower.is_reached or not self.follower.watches()
+        return is_followed and self.registration.is_reached
+
     def _become_ready(self) -> None:
         if self.hosts.own_state is not HostState.STARTING:
             return
--- a/tests/gateway/store_standin.py
+++ b/tests/gateway/store_standin.py
@@ -20,6 +20,7 @@
         self.leases = {}
         self.is_down = False
         self.loses_answers = False
+        self.waiting_watches = 0
         self._changed = asyncio.Condition()
 
     def put(self, key, document):
@@ -70,12 +71,15 @@
         after = int(query['after'])
         if after < self.compacted_below:
             return Reply(410)
+        self.waiting_watches += 1
         try:
             async with asyncio.timeout(int(query['wait-ms']) / 1000):
                 async with self._changed:
                     await self._changed.wait_for(lambda: self.revision > after)
         except TimeoutError:
             pass
+        finally:
+            self.waiting_watches -= 1
         if after < self.compacted_below:
             return Reply(410)
         events = [one for one in self.history if one['revision'] > after]
--- /dev/null
+++ b/tests/gateway/test_watchers.py
@@ -0,0 +1,206 @@
+"""Large regions: few hosts watch the store, and few bytes cross regions."""
+
+import pytest
+
+from jacinthfold.catalogue.follower import decode_host
+from jacinthfold.catalogue.model import HostRecord
+from jacinthfold.catalogue.records import Catalogue, Record
+from jacinthfold.fleet.heartbeats import REMOTE_FANOUT, Heartbeats
+from jacinthfold.fleet.snapshots import (
+    decode_snapshot,
+    encode_snapshot,
+    since_of,
+)
+from jacinthfold.fleet.table import HostState, HostTable
+from jacinthfold.fleet.watchers import ALL_WATCH_HOSTS, WATCHERS, Watchers
+from jacinthfold.placement.regions import RegionView
+from jacinthfold.placement.targets import TargetTable
+from jacinthfold.platform.documents import PlatformReader
+from tests.fakes import FakeClock
+from tests.gateway.deployment import route
+from tools.fleet import wait_until
+
+NAMES = [f'north-{number}' for number in range(ALL_WATCH_HOSTS + 4)]
+
+
+def record(name, region='north'):
+    number = sum(name.encode()) % 250
+    return HostRecord(
+        name, 1, (region, f'{region}-1'), f'127.0.0.{number}', (1, 2, 3)
+    )
+
+
+def tables(clock, names):
+    return {name: HostTable(record(name), clock) for name in names}
+
+
+def beat(hosts, lost=(), silent=()):
+    """Let every host that is not silent be heard by all others."""
+    for name in hosts:
+        if name in silent:
+            continue
+        for table in hosts.values():
+            table.note_heartbeat(
+                record(name),
+                HostState.ACTIVE,
+                1,
+                reaches_store=name not in lost,
+            )
+
+
+def watching(hosts):
+    return {
+        name for name, table in hosts.items() if Watchers(table).own_watches()
+    }
+
+
+def test_in_a_small_region_all_hosts_watch():
+    hosts = tables(FakeClock(), NAMES[:3])
+    beat(hosts)
+    assert watching(hosts) == set(hosts)
+
+
+def test_in_a_large_region_few_hosts_watch():
+    hosts = tables(FakeClock(), NAMES)
+    beat(hosts)
+    assert len(watching(hosts)) == WATCHERS
+
+
+@pytest.mark.parametrize('way', ['silent', 'lost'])
+def test_others_take_over_from_watchers_that_fail(way):
+    """Both watchers of a data centre die, or lose the store.
+
+    Nobody else would hear of changes: a drained target would go on getting
+    requests until a watcher is back.
+    """
+    clock = FakeClock()
+    hosts = tables(clock, NAMES)
+    beat(hosts)
+    failed = watching(hosts)
+    clock.advance(2.1)
+    beat(hosts, **{way: failed})
+    left = {name: hosts[name] for name in NAMES if name not in failed}
+    assert len(watching(left)) == WATCHERS
+
+
+def test_host_that_hears_nobody_watches():
+    clock = FakeClock()
+    hosts = tables(clock, NAMES)
+    beat(hosts)
+    clock.advance(2.1)
+    assert watching(hosts) == set(hosts)
+
+
+class Wire:
+    """Count datagrams by receiver."""
+
+    def __init__(self):
+        self.places = []
+
+    def sendto(self, _content, place):
+        self.places.append(place)
+
+
+def test_few_hosts_of_another_region_hear_each_heartbeat():
+    clock = FakeClock()
+    table = HostTable(record('north-0'), clock)
+    for number in range(30):
+        table.note_heartbeat(
+            record(f'south-{number}', 'south'), HostState.ACTIVE, 1
+        )
+    beats = Heartbeats(
+        table,
+        Catalogue(PlatformReader(), decode_host, clock),
+        TargetTable({}, clock),
+        RegionView('north', clock),
+        None,
+        clock,
+    )
+    wire = Wire()
+    beats.connection_made(wire)
+    for _ in range(3):
+        beats.beat()
+    assert len(wire.places) == REMOTE_FANOUT
+    beats.announce()
+    assert len(wire.places) == REMOTE_FANOUT + 30
+
+
+def catalogue():
+    return Catalogue(PlatformReader(), decode_host, FakeClock())
+
+
+def test_neighbour_tells_what_changed_and_what_was_removed():
+    ahead, behind = catalogue(), catalogue()
+    for one in (ahead, behind):
+        one.apply([Record('x/a', 1, b'1'), Record('x/b', 2, b'2')], 2)
+    ahead.apply([Record('x/a', 3, None), Record('x/c', 4, b'3')], 4)
+    told = decode_snapshot(encode_snapshot(ahead, behind.revision))
+    assert not told.is_whole
+    behind.apply(told.records, told.revision)
+    assert {one.key for one in behind.records()} == {'x/b', 'x/c'}
+    assert behind.revision == 4
+
+
+def test_neighbour_that_took_a_list_tells_all():
+    """A host that lost its history does not know what was removed before.
+
+    Told only what changed, the other host would keep a target that left.
+    """
+    ahead, behind = catalogue(), catalogue()
+    behind.apply([Record('x/a', 1, b'1')], 1)
+    ahead.replace([Record('x/b', 5, b'2')], 6)
+    told = decode_snapshot(encode_snapshot(ahead, behind.revision))
+    assert told.is_whole
+    behind.replace(told.records, told.revision)
+    assert {one.key for one in behind.records()} == {'x/b'}
+
+
+def test_malformed_revision_is_refused():
+    assert since_of('/snapshot?since=7') == 7
+    with pytest.raises(ValueError):
+        since_of('/snapshot?since=x')
+
+
+def test_change_reaches_hosts_that_don_t_watch(deployment):
+    """A region of fourteen hosts loses those that watch the store.
+
+    A route is added before and another one after. Every host that lives must
+    serve both within seconds, while few watches wait at the store.
+    """
+    deployment.put_routes(route('/a/'))
+    deployment.add_target('i-1', 'desk')
+    seed = deployment.start_host(NAMES[0])
+    seeds = f'{seed.control[0]}:{seed.control[1]}'
+    for name in NAMES[1:]:
+        deployment.make_host(name, seeds=seeds).start()
+    for name in NAMES:
+        deployment.wait_ready(name)
+    wait_until(
+        lambda: 0 < deployment.store.waiting_watches <= WATCHERS,
+        'few hosts watch',
+    )
+    deployment.put_routes(route('/a/'), route('/b/'))
+    wait_served_everywhere(deployment, NAMES, '/b/x')
+    for name in watchers_of():
+        deployment.hosts[name].kill()
+    alive = [
+        name for name in NAMES if deployment.hosts[name].process.poll() is None
+    ]
+    assert len(alive) == len(NAMES) - WATCHERS
+    deployment.put_routes(route('/a/'), route('/b/'), route('/c/'))
+    wait_served_everywhere(deployment, alive, '/c/x')
+
+
+def wait_served_everywhere(deployment, names, path):
+    for name in names:
+        wait_until(
+            lambda name=name: deployment.ask(name, path).status == 200,
+            f'{name} serves {path}',
+        )
+
+
+def watchers_of():
+    """Return the hosts that are to watch, by the rule they go by."""
+    hosts = tables(FakeClock(), NAMES)
+    beat(hosts)
+    return watching(hosts)
