--- a/jacinthfold/__main__.py
+++ b/jacinthfold/__main__.py
@@ -1,15 +1,36 @@
 """Run the program."""
 
+import signal
 import sys
 
-from jacinthfold.context import Environment
-from jacinthfold.core import main as run
+from jacinthfold.status import ExitStatus
+
+DAEMONS = frozenset(('gateway', 'serve'))
 
 
 def main() -> int:
     """Run with the arguments and streams of this process."""
+    if DAEMONS.intersection(sys.argv[1:2]):
+        _hold_signals()
+    # Loading the libraries takes half a second, in which a reload's SIGHUP
+    # would end the process without a word: the handlers come first.
+    from jacinthfold.context import Environment  # noqa: PLC0415
+    from jacinthfold.core import main as run  # noqa: PLC0415
+
     return run(sys.argv[1:], Environment())
 
 
+def _hold_signals() -> None:
+    """Outlive a reload and end well on a stop until the real handlers stand."""
+    # The settings are read later, so a reload has nothing to do yet; nothing
+    # listens yet, so a stop cuts nobody off.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    signal.signal(signal.SIGTERM, _end)
+
+
+def _end(_number: int, _frame: object) -> None:
+    sys.exit(ExitStatus.SUCCESS)
+
+
 if __name__ == '__main__':
     sys.exit(main())
--- a/tests/gateway/test_life.py
+++ b/tests/gateway/test_life.py
@@ -3,6 +3,7 @@
 import os
 import signal
 import socket
+from pathlib import Path
 
 import pytest
 
@@ -173,3 +174,23 @@
     lines = host.log().splitlines()
     assert all(line.startswith('error: ') for line in lines)
     assert any('wrong: unknown key' in line for line in lines)
+
+
+@pytest.mark.parametrize('number', [signal.SIGHUP, signal.SIGTERM])
+def test_signal_during_start(deployment, number):
+    """The platform signals a host that is still loading its libraries.
+
+    A reload's signal must not end it, and a stop must end it well: without
+    handlers either one kills the process before its first log line.
+    """
+    deployment.put_routes(route('/order/'))
+    host = deployment.make_host('north-a')
+    host.start()
+    maps = Path(f'/proc/{host.process.pid}/maps')
+    # A library that is loaded early: the signal meets the rest of the start.
+    wait_until(lambda: 'pycurl' in maps.read_text(), 'libraries are loading')
+    host.signal(number)
+    if number == signal.SIGTERM:
+        assert host.process.wait(30) == 0
+    else:
+        deployment.wait_ready('north-a')
