Load no WSGI server in hosts that follow a store

Cause: the command line imported the hash of callers' keys from the module that reads their requests, which brings werkzeug and cheroot. 70 of 200 ms of imports (python -X importtime), paid by each start of a host.

--- a/jacinthfold/cli.py
+++ b/jacinthfold/cli.py
@@ -11,7 +11,7 @@
 from jacinthfold import commands, config, logs
 from jacinthfold.commands import CommandError, ControlClient, Output
 from jacinthfold.context import Environment
-from jacinthfold.reading import hash_key
+from jacinthfold.hashing import hash_key
 from jacinthfold.status import ExitStatus
 from jacinthfold.version import VERSION
 
--- a/jacinthfold/front.py
+++ b/jacinthfold/front.py
@@ -17,6 +17,7 @@
 from jacinthfold.configuration import Configuration
 from jacinthfold.deployment import Organisation
 from jacinthfold.directory import Directory
+from jacinthfold.hashing import hash_key
 from jacinthfold.limits import Limiter, LimitError
 from jacinthfold.metrics import Metrics
 from jacinthfold.once import KEY_HEADER, OnceServer
@@ -26,7 +27,6 @@
     check_framing,
     checked_key,
     completion_work,
-    hash_key,
     health,
     need_method,
     passed_headers,
--- a/jacinthfold/hashing.py
+++ b/jacinthfold/hashing.py
@@ -1,5 +1,6 @@
-"""Rank names so that every process that knows them agrees."""
+"""Hash names and keys so that every process agrees."""
 
+import hashlib
 from collections.abc import Iterable
 
 import xxhash
@@ -12,3 +13,8 @@
         key=lambda name: xxhash.xxh64_intdigest(f'{key}\0{name}'.encode()),
         reverse=True,
     )
+
+
+def hash_key(key: str) -> str:
+    """Return what the configuration keeps of a caller's key."""
+    return hashlib.sha256(key.encode()).hexdigest()
--- a/jacinthfold/reading.py
+++ b/jacinthfold/reading.py
@@ -1,6 +1,5 @@
 """Read callers' requests, and refuse what is malformed."""
 
-import hashlib
 import json
 from http import HTTPStatus
 from typing import Any
@@ -36,11 +35,6 @@
 }
 
 
-def hash_key(key: str) -> str:
-    """Return what the configuration keeps of a caller's key."""
-    return hashlib.sha256(key.encode()).hexdigest()
-
-
 def health(ready: bool) -> Response:
     """Return whether the host serves callers."""
     status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from jacinthfold.client import Answer, Call, ClientError, HttpClient
-from jacinthfold.reading import hash_key
+from jacinthfold.hashing import hash_key
 
 OPERATOR_KEY = 'sample-operator-key-0001'
 PEER_SECRET = 'sample-peer-secret-0001'
