--- a/jacinthfold/gateway/handlers.py
+++ b/jacinthfold/gateway/handlers.py
@@ -17,9 +17,9 @@
 from jacinthfold.gateway.adapter import HostCalls
 from jacinthfold.gateway.leaving import Leaving
 from jacinthfold.proxy import relay_header
+from jacinthfold.proxy.caller_answer import CallerAnswer, RawRequest
 from jacinthfold.proxy.dialect import Dialect
 from jacinthfold.proxy.forwarding import Forwarder
-from jacinthfold.proxy.listener import CallerAnswer, RawRequest
 from jacinthfold.proxy.messages import Headers, Request
 from jacinthfold.proxy.metrics import ProxyMetrics
 
--- a/jacinthfold/placement/choice.py
+++ b/jacinthfold/placement/choice.py
@@ -6,6 +6,7 @@
 from jacinthfold.clock import Clock
 from jacinthfold.placement import limits
 from jacinthfold.placement.affinity import Affinity, in_order
+from jacinthfold.placement.estimates import Estimate, Estimator
 from jacinthfold.placement.pace import ColdPace
 from jacinthfold.placement.regions import RegionView, RemoteRegion
 from jacinthfold.placement.targets import Target, TargetTable
@@ -14,33 +15,6 @@
 _MS_PER_SECOND = 1000.0
 
 
-class Estimate:
-    """Hold when a target's first event is expected, and why."""
-
-    __slots__ = (
-        'cached_tokens',
-        'keeper',
-        'seconds',
-        'target',
-        'wait_seconds',
-    )
-
-    def __init__(
-        self,
-        target: Target,
-        wait_seconds: float,
-        own_seconds: float,
-        cached_tokens: int,
-    ) -> None:
-        """Take the wait for others and the request's own time."""
-        self.target = target
-        self.wait_seconds = wait_seconds
-        self.seconds = wait_seconds + own_seconds
-        self.cached_tokens = cached_tokens
-        # Another target from which this one is to copy the shared parts.
-        self.keeper: Target | None = None
-
-
 class SendTo:
     """Say that a target here is to run the request."""
 
@@ -105,6 +79,7 @@
         self._clock = clock
         self._random = source
         self._affinity = Affinity()
+        self._estimator = Estimator(targets)
 
     def choose(
         self,
@@ -136,7 +111,7 @@
         """Return the least wait for a service here, None with no target."""
         now = self._clock.monotonic()
         waits = [
-            self._wait_seconds(target, now, is_urgent=is_urgent)
+            self._estimator.wait_seconds(target, now, is_urgent=is_urgent)
             for target in self._usable(service, (), now)
         ]
         return min(waits, default=None)
@@ -164,35 +139,22 @@
             request.route.name, request.facts.parts, len(usable)
         )
         if not shared:
-            return [self._estimate(request, one, now, 0) for one in usable]
+            return [
+                self._estimator.estimate(request, one, now, 0) for one in usable
+            ]
         targets = {target.record.instance: target for target in usable}
         kept_tokens = sum(part.tokens for part in shared)
         first, *others = in_order(shared, targets)
         keeper = targets[first]
-        found = [self._estimate(request, keeper, now, kept_tokens)]
+        found = [self._estimator.estimate(request, keeper, now, kept_tokens)]
         found.extend(
-            self._copying(request, targets[name], now, keeper, kept_tokens)
+            self._estimator.copying(
+                request, targets[name], now, keeper, kept_tokens
+            )
             for name in others
         )
         return found
 
-    def _copying(
-        self,
-        request: Request,
-        target: Target,
-        now: float,
-        keeper: Target,
-        kept_tokens: int,
-    ) -> Estimate:
-        """Return the estimate of a target that may copy from a keeper."""
-        plain = self._estimate(request, target, now, 0)
-        if kept_tokens - plain.cached_tokens < limits.COPY_AT_LEAST_TOKENS:
-            return plain
-        copying = self._estimate(request, target, now, kept_tokens)
-        copying.seconds += limits.COPY_SECONDS
-        copying.keeper = keeper
-        return copying
-
     def _is_kept(
         self, request: Request, estimate: Estimate, now: float
     ) -> bool:
@@ -236,43 +198,6 @@
             return True
         return self._pace.allows(target, service.cold_requests_per_second, now)
 
-    def _estimate(
-        self, request: Request, target: Target, now: float, kept_tokens: int
-    ) -> Estimate:
-        service = self._targets.service(request.service_name)
-        wait = self._wait_seconds(
-            target, now, is_urgent=request.route.is_urgent
-        )
-        if not service.is_engine:
-            return Estimate(target, wait, target.seconds_per_call, 0)
-        facts = request.facts
-        cached = target.cached_tokens(facts.parts, now) or kept_tokens
-        unread = max(0, facts.prompt_tokens - cached)
-        own = unread / limits.READ_TOKENS_PER_MS / _MS_PER_SECOND
-        own += limits.FIRST_EVENT_SECONDS
-        return Estimate(target, wait, own, cached)
-
-    def _wait_seconds(
-        self, target: Target, now: float, *, is_urgent: bool
-    ) -> float:
-        service = self._targets.service(target.record.service)
-        load = target.load(now)
-        slots = max(1, target.record.slots)
-        if not service.is_engine:
-            waiting = max(0, load.requests + 1 - slots)
-            return waiting * target.seconds_per_call / slots
-        tokens = load.unread_tokens * limits.OVERTAKEN_SHARE
-        if is_urgent:
-            others = load.unread_tokens - load.urgent_tokens
-            tokens = load.urgent_tokens + others * limits.OTHERS_SHARE
-        seconds = tokens / limits.READ_TOKENS_PER_MS / _MS_PER_SECOND
-        seconds += load.requests * limits.RUNNING_SECONDS
-        if load.requests >= slots:
-            seconds += 1.0
-        if load.held_tokens > service.memory_tokens * limits.MEMORY_SHARE:
-            seconds += 1.0
-        return seconds * max(1.0, min(target.slowness, 4.0))
-
     def _cost(self, estimate: Estimate) -> float:
         target = estimate.target
         # A target that fails part of its requests is worth less than one
--- a/jacinthfold/placement/limits.py
+++ b/jacinthfold/placement/limits.py
@@ -36,6 +36,10 @@
 # Beliefs about cached prompt parts: how many per target and how long.
 CACHED_CHAINS = 400
 CACHED_SECONDS = 60.0
+# What a request waits for a slot or for memory that another one must free: an
+# answer of 385 tokens takes 2 to 3.5 s, and of 64 one ends long before. A
+# guess on the late side, not measured.
+FULL_SECONDS = 1.0
 # Memory that requests may fill: engines preempt when it runs out.
 MEMORY_SHARE = 0.92
 # Pace of a cold target against what it tolerates. Its hosts may disagree for
--- a/jacinthfold/proxy/attempts.py
+++ b/jacinthfold/proxy/attempts.py
@@ -6,15 +6,15 @@
 from jacinthfold.catalogue.model import HostRecord, Repetition
 from jacinthfold.clock import Clock
 from jacinthfold.fleet.table import HostTable
-from jacinthfold.placement.choice import Estimate
+from jacinthfold.placement.estimates import Estimate
 from jacinthfold.placement.regions import RegionView, RemoteRegion
 from jacinthfold.placement.targets import Target
 from jacinthfold.proxy import relay_header
+from jacinthfold.proxy.caller_answer import CallerAnswer
 from jacinthfold.proxy.delivery import Delivery
 from jacinthfold.proxy.dialect import Dialect
 from jacinthfold.proxy.errors import ConnectFailedError, ProxyError
 from jacinthfold.proxy.exchange import Exchange
-from jacinthfold.proxy.listener import CallerAnswer
 from jacinthfold.proxy.messages import (
     AnswerHead,
     Headers,
@@ -76,7 +76,7 @@
         if estimate.keeper is not None:
             place = estimate.keeper.record.address
             headers.extend(self._dialect.copy_headers(place))
-        delivery = Delivery(request, answer, progress, self._silence(request))
+        delivery = self._delivery(request, answer, progress)
         began_at = self._clock.monotonic()
         unread = _Unread(target, request, estimate.cached_tokens)
         delivery.on_first_event = unread.note_read
@@ -115,7 +115,7 @@
                 request, request.deadline - now, now - request.received_at
             )
         )
-        delivery = Delivery(request, answer, progress, self._silence(request))
+        delivery = self._delivery(request, answer, progress)
         delivery.is_at_peer = True
         place = (host.address, host.relay_port, host.name)
         outcome = await self._exchange(
@@ -133,6 +133,12 @@
         ]
         return self._random.choice(found) if found else None
 
+    def _delivery(
+        self, request: Request, answer: CallerAnswer, progress: Progress
+    ) -> Delivery:
+        silence_seconds = self._silence(request)
+        return Delivery(request, answer, progress, silence_seconds, self._clock)
+
     def _silence(self, request: Request) -> float | None:
         if request.route.repetition is Repetition.NEVER:
             return None
--- /dev/null
+++ b/jacinthfold/proxy/caller_answer.py
@@ -0,0 +1,83 @@
+"""Hold a caller's request as it was read, and write the answer to it."""
+
+import h11
+
+from jacinthfold.proxy.channel import Channel
+from jacinthfold.proxy.errors import ConnectionCutError
+from jacinthfold.proxy.messages import Headers
+
+
+class RawRequest:
+    """Hold a request as it was read."""
+
+    __slots__ = ('body', 'headers', 'method', 'target')
+
+    def __init__(
+        self, method: bytes, target: bytes, headers: Headers, body: bytes
+    ) -> None:
+        """Take the parts as they came."""
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+
+
+class CallerGoneError(Exception):
+    """Report that the caller has left while its answer was written."""
+
+
+class CallerAnswer:
+    """Write one answer to a caller."""
+
+    def __init__(
+        self, channel: Channel, parser: h11.Connection, is_head: bool
+    ) -> None:
+        """Take the connection and the state of its protocol."""
+        self._channel = channel
+        self._parser = parser
+        self._is_head = is_head
+        self.has_started = False
+        self.is_finished = False
+        self.status = 0
+        self.closes_connection = False
+
+    async def whole(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send an answer whose body is known."""
+        framed = [*headers, (b'Content-Length', str(len(body)).encode())]
+        content = self._head(status, framed)
+        if body and not self._is_head:
+            content += self._parser.send(h11.Data(data=body)) or b''
+        content += self._end()
+        await self._write(content)
+        self.is_finished = True
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the head of an answer whose length is not known."""
+        await self._write(self._head(status, headers))
+
+    async def write(self, content: bytes) -> None:
+        """Send a part of the body."""
+        await self._write(self._parser.send(h11.Data(data=content)) or b'')
+
+    async def finish(self) -> None:
+        """Send the end mark, which makes the answer whole."""
+        await self._write(self._end())
+        self.is_finished = True
+
+    def _head(self, status: int, headers: Headers) -> bytes:
+        self.has_started = True
+        self.status = status
+        framed = list(headers)
+        if self.closes_connection:
+            framed.append((b'Connection', b'close'))
+        event = h11.Response(status_code=status, headers=framed)
+        return self._parser.send(event) or b''
+
+    def _end(self) -> bytes:
+        return self._parser.send(h11.EndOfMessage()) or b''
+
+    async def _write(self, content: bytes) -> None:
+        try:
+            await self._channel.write(content)
+        except ConnectionCutError as error:
+            raise CallerGoneError from error
--- a/jacinthfold/proxy/delivery.py
+++ b/jacinthfold/proxy/delivery.py
@@ -1,15 +1,15 @@
 """Bring a target's answer to the caller, whole or visibly broken."""
 
 import asyncio
-import time
 from collections.abc import Callable
 from http import HTTPStatus
 
 from jacinthfold.catalogue.model import Repetition
+from jacinthfold.clock import Clock
+from jacinthfold.proxy.caller_answer import CallerAnswer
 from jacinthfold.proxy.errors import ProxyError
 from jacinthfold.proxy.events import EventSplitter
 from jacinthfold.proxy.exchange import Exchange
-from jacinthfold.proxy.listener import CallerAnswer
 from jacinthfold.proxy.messages import AnswerHead, Request
 from jacinthfold.proxy.outcome import Ending, Outcome
 from jacinthfold.proxy.progress import Progress
@@ -31,12 +31,14 @@
         answer: CallerAnswer,
         progress: Progress,
         silence_seconds: float | None,
+        clock: Clock,
     ) -> None:
         """Take both ends, and how long a repeatable one may say nothing."""
         self._request = request
         self._answer = answer
         self._progress = progress
         self._silence_seconds = silence_seconds
+        self._clock = clock
         self.limit_bytes = WHOLE_LIMIT_BYTES
         self.first_event_at = 0.0
         # Only another entry host may tell how a request ended in our words; a
@@ -94,7 +96,7 @@
         if not events:
             return
         if not self.first_event_at:
-            self.first_event_at = time.monotonic()
+            self.first_event_at = self._clock.monotonic()
             if self.on_first_event is not None:
                 self.on_first_event()
         if not self._answer.has_started:
--- a/jacinthfold/proxy/forwarding.py
+++ b/jacinthfold/proxy/forwarding.py
@@ -9,8 +9,8 @@
 from jacinthfold.placement.budget import RetryBudgets
 from jacinthfold.placement.choice import Choice, PassTo, Placer, Refuse, SendTo
 from jacinthfold.proxy.attempts import Attempts
+from jacinthfold.proxy.caller_answer import CallerAnswer
 from jacinthfold.proxy.dialect import Dialect
-from jacinthfold.proxy.listener import CallerAnswer
 from jacinthfold.proxy.messages import Request
 from jacinthfold.proxy.metrics import ProxyMetrics
 from jacinthfold.proxy.outcome import Ending, Outcome
@@ -177,6 +177,7 @@
                 expected_seconds=estimate.seconds,
                 prompt_tokens=request.facts.prompt_tokens,
                 cached_tokens=estimate.cached_tokens,
+                copied_from=estimate.keeper_name,
                 failing_share=estimate.target.failing_share,
             )
         if isinstance(choice, PassTo):
