--- a/jacinthfold/proxy/delivery.py
+++ b/jacinthfold/proxy/delivery.py
@@ -97,12 +97,19 @@
             return
         if not self.first_event_at:
             self.first_event_at = self._clock.monotonic()
+            self._note_first_event()
             if self.on_first_event is not None:
                 self.on_first_event()
         if not self._answer.has_started:
             await self._answer.start(head.status, head.passed_headers())
         await self._answer.write(events)
 
+    def _note_first_event(self) -> None:
+        # A stream that goes on at another target has begun before.
+        if self._progress.first_seconds is None:
+            elapsed = self.first_event_at - self._request.received_at
+            self._progress.first_seconds = elapsed
+
     def _pause_limit(self) -> float | None:
         if self._silence_seconds is None:
             return None
--- a/jacinthfold/proxy/forwarding.py
+++ b/jacinthfold/proxy/forwarding.py
@@ -217,6 +217,8 @@
             'sends': progress.sends,
             'seconds': elapsed,
         }
+        if progress.first_seconds is not None:
+            fields['first_seconds'] = progress.first_seconds
         if answer.is_finished and answer.status < HTTPStatus.BAD_REQUEST:
             logs.event('request_served', **fields)
             return
--- a/jacinthfold/proxy/progress.py
+++ b/jacinthfold/proxy/progress.py
@@ -14,6 +14,7 @@
         'after_seconds',
         'ending',
         'failed',
+        'first_seconds',
         'is_out',
         'last_event_id',
         'last_place',
@@ -34,6 +35,8 @@
         self.turned_down = 0
         self.last_event_id = request.facts.last_event_id
         self.last_place = ''
+        # From the whole request to its first event, None before that.
+        self.first_seconds: float | None = None
         self.reason = ''
         # Set while an attempt is under way whose outcome is not known.
         self.is_out = False
