--- a/jacinthfold/catalogue/follower.py
+++ b/jacinthfold/catalogue/follower.py
@@ -42,6 +42,7 @@
         self._is_listed = False
         self.heard_at = -1.0
         self.is_reached = False
+        self._is_watching = True
         # Whether this host watches the store, or leaves that to neighbours.
         self.watches: Callable[[], bool] = lambda: True
 
@@ -66,7 +67,8 @@
             self._is_listed = True
             self._note_reached()
             return
-        if not self.watches():
+        self._note_watching(is_watching=self.watches())
+        if not self._is_watching:
             await asyncio.sleep(GATHER_SECONDS)
             return
         since = self._catalogue.revision
@@ -78,6 +80,15 @@
         if changes:
             await asyncio.sleep(GATHER_SECONDS)
 
+    def _note_watching(self, *, is_watching: bool) -> None:
+        if is_watching is not self._is_watching:
+            self._is_watching = is_watching
+            logs.event(
+                'store_watch',
+                is_watching=is_watching,
+                revision=self._catalogue.revision,
+            )
+
     def _note_reached(self) -> None:
         self.heard_at = self._clock.monotonic()
         if not self.is_reached:
