--- a/jacinthfold/catalogue/follower.py
+++ b/jacinthfold/catalogue/follower.py
@@ -113,11 +113,12 @@
         self._store = store
         self._own = own
         self._lease = 0
+        self._has_left = False
         self.is_reached = True
 
     async def run(self) -> None:
-        """Stay registered until cancelled."""
-        while True:
+        """Stay registered until the host leaves or this is cancelled."""
+        while not self._has_left:
             try:
                 await self._step()
                 self.is_reached = True
@@ -132,6 +133,8 @@
 
     async def leave(self) -> None:
         """End the registration; the lease ends by itself if that fails."""
+        # The next renewal finds no lease and would register the host anew.
+        self._has_left = True
         if not self._lease:
             return
         try:
--- a/tests/gateway/test_life.py
+++ b/tests/gateway/test_life.py
@@ -194,3 +194,16 @@
         assert host.process.wait(30) == 0
     else:
         deployment.wait_ready('north-a')
+
+
+def test_leaving_host_does_not_register_again(desk):
+    """A host stops and ends its lease, then serves on for some seconds.
+
+    Its next renewal finds no lease. Taken for one that lapsed, the host would
+    register anew, and its record would outlive its process.
+    """
+    host = desk.hosts['north-a']
+    wait_until(lambda: 'hosts/north-a' in desk.store.items, 'it is registered')
+    host.signal(signal.SIGTERM)
+    assert host.process.wait(30) == 0
+    assert 'hosts/north-a' not in desk.store.items
