--- a/jacinthfold/placement/estimates.py
+++ b/jacinthfold/placement/estimates.py
@@ -57,8 +57,7 @@
         if not service.is_engine:
             return Estimate(target, wait, target.seconds_per_call, 0)
         facts = request.facts
-        believed = target.cached_tokens(facts.parts, now)
-        cached = max(believed, kept_tokens)
+        cached = target.cached_tokens(facts.parts, now) or kept_tokens
         unread = max(0, facts.prompt_tokens - cached)
         own = unread / limits.READ_TOKENS_PER_MS / _MS_PER_SECOND
         own += limits.FIRST_EVENT_SECONDS
