--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -507,6 +507,41 @@
         ],
         GATEWAY + 'test_soak.py::test_promises_hold_under_random_faults',
     ),
+    Ablation(
+        'gateway: few hosts of another region hear a heartbeat',
+        [
+            (
+                'fleet/heartbeats.py',
+                'count = min(REMOTE_FANOUT, len(entries))',
+                'count = len(entries)',
+            ),
+        ],
+        GATEWAY
+        + 'test_watchers.py::test_few_hosts_of_another_region_hear_each_heartbeat',
+    ),
+    Ablation(
+        'gateway: a leaving host does not register again',
+        [
+            (
+                'catalogue/follower.py',
+                '        self._has_left = True',
+                '        self._has_left = False',
+            ),
+        ],
+        GATEWAY + 'test_life.py::test_leaving_host_does_not_register_again',
+    ),
+    Ablation(
+        'gateway: few share a leading part',
+        [
+            (
+                'placement/affinity.py',
+                'share * targets < limits.LEADING_SHARE',
+                'share < 0',
+            ),
+        ],
+        GATEWAY
+        + 'test_placement.py::test_leading_part_that_few_share_keeps_prompts_together',
+    ),
 ]
 
 
