Typed entries of targets and hosts; a target that starts again is known for nothing

Cause: an entry of another writer reached the follower as bare documents. A target that starts again under its id kept load, cache beliefs, failures, coldness and connections of before.

Change: the adapter decodes entries into msgspec structs or raises UnreadableRecordError; a record that can't be read withdraws what it said before. Each life of a target has a name made of instance and start, under which loads are told and connections kept. Heartbeats are typed, and pass over fields that they don't know. Duties of a host run again when they fail, with a log line, where they ended the process before.

--- a/jacinthfold/catalogue/follower.py
+++ b/jacinthfold/catalogue/follower.py
@@ -1,12 +1,11 @@
 """Follow the metadata store, and stay registered in it."""
 
 import asyncio
-import json
 import random
 from collections.abc import Callable
-from typing import Any
 
 from jacinthfold import logs
+from jacinthfold.catalogue.host_codec import encode_host
 from jacinthfold.catalogue.metadata import (
     LeaseLostError,
     MetadataError,
@@ -151,35 +150,3 @@
             self._own.name, encode_host(self._own), lease
         )
         self._lease = lease
-
-
-def encode_host(host: HostRecord) -> bytes:
-    """Return a host's record as bytes."""
-    return json.dumps(
-        {
-            'name': host.name,
-            'incarnation': host.incarnation,
-            'region': host.region,
-            'data_centre': host.data_centre,
-            'address': host.address,
-            'ports': [host.caller_port, host.relay_port, host.control_port],
-        },
-        separators=(',', ':'),
-    ).encode()
-
-
-def decode_host(content: bytes) -> HostRecord:
-    """Return the host in a record; raise ValueError."""
-    return host_of(json.loads(content))
-
-
-def host_of(document: dict[str, Any]) -> HostRecord:
-    """Return the host in a decoded record; raise ValueError or KeyError."""
-    caller_port, relay_port, control_port = document['ports']
-    return HostRecord(
-        document['name'],
-        document['incarnation'],
-        (document['region'], document['data_centre']),
-        document['address'],
-        (caller_port, relay_port, control_port),
-    )
--- /dev/null
+++ b/jacinthfold/catalogue/host_codec.py
@@ -0,0 +1,56 @@
+"""Write and read entry hosts' records."""
+
+import msgspec
+
+from jacinthfold.catalogue.model import HostRecord
+from jacinthfold.catalogue.records import UnreadableRecordError
+
+
+class HostDocument(msgspec.Struct):
+    """Hold a host's record as it is written."""
+
+    name: str
+    incarnation: int
+    region: str
+    data_centre: str
+    address: str
+    ports: tuple[int, int, int]
+
+
+_host_decoder = msgspec.json.Decoder(HostDocument)
+
+
+def encode_host(host: HostRecord) -> bytes:
+    """Return a host's record as bytes."""
+    return msgspec.json.encode(document_of(host))
+
+
+def document_of(host: HostRecord) -> HostDocument:
+    """Return a host's record as it is written."""
+    return HostDocument(
+        host.name,
+        host.incarnation,
+        host.region,
+        host.data_centre,
+        host.address,
+        (host.caller_port, host.relay_port, host.control_port),
+    )
+
+
+def decode_host(content: bytes) -> HostRecord:
+    """Return the host in a record; raise UnreadableRecordError."""
+    try:
+        return host_of(_host_decoder.decode(content))
+    except (ValueError, RecursionError) as error:
+        raise UnreadableRecordError(str(error)) from error
+
+
+def host_of(document: HostDocument) -> HostRecord:
+    """Return the host in a decoded record."""
+    return HostRecord(
+        document.name,
+        document.incarnation,
+        (document.region, document.data_centre),
+        document.address,
+        document.ports,
+    )
--- a/jacinthfold/catalogue/model.py
+++ b/jacinthfold/catalogue/model.py
@@ -172,6 +172,7 @@
 
     __slots__ = (
         'address',
+        'born_ms',
         'cold_seconds',
         'data_centre',
         'instance',
@@ -188,8 +189,12 @@
         address: tuple[str, int],
         data_centre: str,
     ) -> None:
-        """Take the identity of one life of a target, and where it is."""
+        """Take which target this is, and where it is."""
         self.instance = instance
+        # When this life began, Unix milliseconds of the target's clock. A
+        # target may start again as the same instance; it then knows nothing
+        # of before. None where targets don't tell.
+        self.born_ms: int | None = None
         self.service = service
         self.address = address
         self.data_centre = data_centre
@@ -198,6 +203,13 @@
         self.cold_seconds = 0.0
         self.remaining_seconds: float | None = None
 
+    @property
+    def life(self) -> str:
+        """Return a name for this life of the instance."""
+        if self.born_ms is None:
+            return self.instance
+        return f'{self.instance}/{self.born_ms}'
+
 
 class HostRecord:
     """Hold how an entry host is reached."""
--- a/jacinthfold/catalogue/records.py
+++ b/jacinthfold/catalogue/records.py
@@ -11,6 +11,8 @@
 
 # Removals that are remembered for hosts that ask what changed.
 REMOVALS_KEPT = 500
+# Characters of a key that a log line shows; another writer's may be long.
+KEY_SHOWN = 80
 
 
 class Record:
@@ -25,6 +27,10 @@
         self.content = content
 
 
+class UnreadableRecordError(ValueError):
+    """Say that a record is not what its key promises."""
+
+
 class Kind(Enum):
     """Say what a record is about."""
 
@@ -36,7 +42,7 @@
 
 
 class RecordReader(Protocol):
-    """Turn records into types; raise ValueError for what makes no sense."""
+    """Turn records into types; raise UnreadableRecordError."""
 
     def kind_of(self, key: str) -> tuple[Kind, str]:
         """Return what a key is about and the name within that kind."""
@@ -149,13 +155,27 @@
             self._records[record.key] = record
         try:
             self._announce(record)
-        except (ValueError, KeyError, TypeError) as error:
+        except UnreadableRecordError as error:
             logs.error(
                 'record_unreadable',
-                key=record.key,
+                key=record.key[:KEY_SHOWN],
                 revision=record.revision,
-                reason=repr(error),
+                reason=str(error),
             )
+            if known is not None:
+                self._withdraw(record)
+
+    def _withdraw(self, record: Record) -> None:
+        """Take that a record no longer says what it said before."""
+        # Left as it was, a target whose entry another writer spoiled would
+        # keep getting requests that nobody vouches for any more. It comes
+        # back with its own next entry.
+        kind, name = self._reader.kind_of(record.key)
+        for listener in self._listeners:
+            if kind is Kind.TARGET:
+                listener.on_target_removed(name)
+            elif kind is Kind.HOST:
+                listener.on_host(None, name)
 
     def _announce(self, record: Record) -> None:
         kind, name = self._reader.kind_of(record.key)
--- a/jacinthfold/fleet/heartbeats.py
+++ b/jacinthfold/fleet/heartbeats.py
@@ -6,13 +6,18 @@
 """
 
 import asyncio
-import json
 import random
 from collections.abc import Callable
 from typing import Any, Protocol, cast
 
+import msgspec
+
 from jacinthfold import logs
-from jacinthfold.catalogue.follower import encode_host, host_of
+from jacinthfold.catalogue.host_codec import (
+    HostDocument,
+    document_of,
+    host_of,
+)
 from jacinthfold.catalogue.records import Catalogue
 from jacinthfold.clock import Clock
 from jacinthfold.fleet.table import HostEntry, HostState, HostTable
@@ -35,6 +40,31 @@
 UNSENT_TOLD_SECONDS = 5.0
 
 Place = tuple[str, int]
+# Requests, unread tokens, held tokens, urgent unread tokens.
+LoadFigures = tuple[int, int, int, int]
+# Wait of ordinary and of urgent requests in seconds, number of targets.
+RoomFigures = tuple[float, float, int]
+
+
+class Heartbeat(msgspec.Struct):
+    """Hold what a host tells the others.
+
+    A host of the version before leaves out fields that are new, and passes
+    over those that it does not know: new fields need a default.
+    """
+
+    host: HostDocument
+    state: HostState
+    revision: int
+    # Whether the host reaches the metadata store.
+    store: bool
+    # By the life of a target.
+    loads: dict[str, LoadFigures]
+    # By service.
+    rooms: dict[str, RoomFigures]
+
+
+_decoder = msgspec.json.Decoder(Heartbeat)
 
 
 class RoomSource(Protocol):
@@ -64,7 +94,7 @@
         self._room_source = room_source
         self._clock = clock
         self._transport: asyncio.DatagramTransport | None = None
-        self._own = json.loads(encode_host(hosts.own))
+        self._own = document_of(hosts.own)
         self._count = 0
         self._unsent_count = 0
         self._unsent_told_at = float('-inf')
@@ -111,8 +141,8 @@
     def datagram_received(self, content: bytes, addr: Any) -> None:
         """Take a heartbeat."""
         try:
-            self._take(json.loads(content))
-        except (ValueError, KeyError, TypeError) as error:
+            self._take(_decoder.decode(content))
+        except (ValueError, RecursionError) as error:
             logs.warning('heartbeat_unreadable', peer=addr, reason=repr(error))
 
     def error_received(self, exc: Exception) -> None:
@@ -174,68 +204,60 @@
 
     def _message(self) -> bytes:
         loads = {
-            instance: [
+            life: (
                 load.requests,
                 load.unread_tokens,
                 load.held_tokens,
                 load.urgent_tokens,
-            ]
-            for instance, load in self._targets.own_loads().items()
+            )
+            for life, load in self._targets.own_loads().items()
         }
-        return json.dumps(
-            {
-                'host': self._own,
-                'state': self._hosts.own_state.value,
-                'revision': self._catalogue.revision,
-                'store': self.reaches_store(),
-                'loads': loads,
-                'rooms': self._rooms(),
-            },
-            separators=(',', ':'),
-        ).encode()
-
-    def _rooms(self) -> dict[str, list[float]]:
+        heartbeat = Heartbeat(
+            self._own,
+            self._hosts.own_state,
+            self._catalogue.revision,
+            self.reaches_store(),
+            loads,
+            self._rooms(),
+        )
+        return msgspec.json.encode(heartbeat)
+
+    def _rooms(self) -> dict[str, RoomFigures]:
         if self._catalogue.routes is None:
             return {}
         region = self._hosts.own.region
         rooms = {}
         for service in self._catalogue.routes.services:
-            waits = [
-                self._room_source.room(service, is_urgent=is_urgent)
-                for is_urgent in (False, True)
-            ]
-            if None not in waits:
+            ordinary = self._room_source.room(service, is_urgent=False)
+            urgent = self._room_source.room(service, is_urgent=True)
+            if ordinary is not None and urgent is not None:
                 count = len(self._targets.of(service, region))
-                rooms[service] = [*(round(one or 0, 3) for one in waits), count]
+                rooms[service] = (round(ordinary, 3), round(urgent, 3), count)
         return rooms
 
-    def _take(self, message: dict[str, Any]) -> None:
-        host = host_of(message['host'])
+    def _take(self, heartbeat: Heartbeat) -> None:
+        host = host_of(heartbeat.host)
         if host.name == self._hosts.own.name:
             return
-        state = HostState(message['state'])
         self._hosts.note_heartbeat(
             host,
-            state,
-            message['revision'],
-            reaches_store=message['store'],
+            heartbeat.state,
+            heartbeat.revision,
+            reaches_store=heartbeat.store,
         )
         now = self._clock.monotonic()
-        rooms = message['rooms']
-        if state is HostState.ACTIVE:
-            report = RegionReport(
-                host.region,
-                now,
-                {
-                    service: (room[0], room[1])
-                    for service, room in rooms.items()
-                },
-                {service: room[2] for service, room in rooms.items()},
-            )
-            self._regions.take(host.name, report)
+        if heartbeat.state is HostState.ACTIVE:
+            self._regions.take(host.name, _report(host.region, heartbeat, now))
         if host.region == self._hosts.own.region:
             loads = {
-                instance: Load(*figures)
-                for instance, figures in message['loads'].items()
+                life: Load(*figures)
+                for life, figures in heartbeat.loads.items()
             }
             self._targets.take_report(host.name, loads, now)
+
+
+def _report(region: str, heartbeat: Heartbeat, now: float) -> RegionReport:
+    rooms = heartbeat.rooms
+    waits = {service: (room[0], room[1]) for service, room in rooms.items()}
+    counts = {service: room[2] for service, room in rooms.items()}
+    return RegionReport(region, now, waits, counts)
--- a/jacinthfold/gateway/knowledge.py
+++ b/jacinthfold/gateway/knowledge.py
@@ -5,7 +5,8 @@
 from typing import Any
 
 from jacinthfold import logs
-from jacinthfold.catalogue.follower import Follower, Registration, decode_host
+from jacinthfold.catalogue.follower import Follower, Registration
+from jacinthfold.catalogue.host_codec import decode_host
 from jacinthfold.catalogue.model import (
     CallerLimits,
     HostRecord,
--- a/jacinthfold/gateway/node.py
+++ b/jacinthfold/gateway/node.py
@@ -3,7 +3,7 @@
 import asyncio
 import signal
 import time
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -34,6 +34,11 @@
 # the directory that no longer names this host.
 LINGER_SECONDS = 2.5
 DRAIN_POLL_SECONDS = 0.05
+# Between a duty's failure and its next try: short beside the seconds within
+# which changes must be followed, long enough to bound the log.
+DUTY_PAUSE_SECONDS = 0.3
+
+Duty = Callable[[], Coroutine[Any, Any, None]]
 
 
 class GatewayNode:
@@ -133,15 +138,15 @@
             *(listener.start() for listener in self._listeners)
         )
         for duty in (
-            known.follower.run(),
-            known.registration.run(),
-            known.heartbeats.run(),
-            known.snapshots.run(),
-            known.pool.run(),
-            known.keep_house(),
-            self._watch_settings(),
+            known.follower.run,
+            known.registration.run,
+            known.heartbeats.run,
+            known.snapshots.run,
+            known.pool.run,
+            known.keep_house,
+            self._watch_settings,
         ):
-            self._begin(duty)
+            self._begin(supervised(duty))
         logs.event(
             'host_started',
             region=known.own.region,
@@ -159,10 +164,7 @@
         self._tasks.discard(task)
         if task.cancelled() or task.exception() is None:
             return
-        # A duty that ends unseen leaves a host that looks well and follows
-        # nothing. Better to stop and be replaced.
         logs.error('duty_failed', reason=repr(task.exception()))
-        self._stop_asked.set()
 
     async def _watch_settings(self) -> None:
         changed_at = _modified_at(self._settings_path)
@@ -216,6 +218,23 @@
         return self._callers.in_service_count + self._relay.in_service_count
 
 
+async def supervised(duty: Duty) -> None:
+    """Run a duty again whenever it fails, until cancelled."""
+    # A duty that ends unseen leaves a host that looks well and follows
+    # nothing: requests go to targets that left long ago. Ending the process
+    # cuts every answer on its way, at each host that met the same input.
+    while True:
+        try:
+            await duty()
+        except Exception as error:
+            logs.error(
+                'duty_failed', duty=duty.__qualname__, reason=repr(error)
+            )
+            await asyncio.sleep(DUTY_PAUSE_SECONDS)
+        else:
+            return
+
+
 def _own_record(settings: GatewaySettings) -> HostRecord:
     host, listen = settings.host, settings.listen
     # Wall-clock nanoseconds: a later start has the larger number. A clock
--- a/jacinthfold/placement/targets.py
+++ b/jacinthfold/placement/targets.py
@@ -80,8 +80,8 @@
 
     @property
     def place(self) -> tuple[str, int, str]:
-        """Return address, port and instance."""
-        return (*self.record.address, self.record.instance)
+        """Return address, port and life, under which connections are kept."""
+        return (*self.record.address, self.record.life)
 
     def load(self, now: float) -> Load:
         """Return the load of this host and of all that reported lately."""
@@ -154,6 +154,8 @@
         self._regions = dict(regions)
         self._clock = clock
         self._targets: dict[str, Target] = {}
+        # Earlier lives of targets that started again, until they are told.
+        self._ended: list[Target] = []
         self._services: Mapping[str, Service] = {}
         self.evacuated: frozenset[str] = frozenset()
 
@@ -190,16 +192,8 @@
         """Take a target that came or changed."""
         now = self._clock.monotonic()
         target = self._targets.get(record.instance)
-        if target is None:
-            target = Target(record)
-            self._targets[record.instance] = target
-            logs.event(
-                'target_known',
-                target=record.instance,
-                service=record.service,
-                data_centre=record.data_centre,
-                cold_seconds=record.cold_seconds,
-            )
+        if target is None or _is_other_life(target, record):
+            target = self._enter(record, target)
         is_staying = target.last_resort_until is None
         target.record = record
         target.is_removed = False
@@ -246,27 +240,48 @@
         ]
         for target in gone:
             self._targets.pop(target.record.instance)
+        gone.extend(self._ended)
+        self._ended = []
         return gone
 
     def take_report(
         self, reporter: str, loads: Mapping[str, Load], now: float
     ) -> None:
-        """Take the loads that another host has put on targets."""
+        """Take the loads that another host has put on lives of targets."""
         for target in self._targets.values():
-            load = loads.get(target.record.instance)
+            load = loads.get(target.record.life)
             if load is None:
                 target.reported.pop(reporter, None)
             else:
                 target.reported[reporter] = (now, load)
 
     def own_loads(self) -> dict[str, Load]:
-        """Return the loads that this host has put on targets."""
+        """Return the loads that this host has put on lives of targets."""
         return {
-            target.record.instance: target.own
+            target.record.life: target.own
             for target in self._targets.values()
             if target.own.requests
         }
 
+    def _enter(self, record: TargetRecord, earlier: Target | None) -> Target:
+        target = Target(record)
+        if earlier is not None:
+            # Nothing else of the earlier life holds. Its pace does: the bound
+            # on a cold target counts requests to the instance.
+            target.paced_until = earlier.paced_until
+            self._ended.append(earlier)
+        self._targets[record.instance] = target
+        logs.event(
+            'target_known',
+            target=record.instance,
+            life=record.life,
+            starts_again=earlier is not None,
+            service=record.service,
+            data_centre=record.data_centre,
+            cold_seconds=record.cold_seconds,
+        )
+        return target
+
     def _note_cold(self, target: Target, seconds: float, now: float) -> None:
         if seconds <= 0:
             return
@@ -285,6 +300,13 @@
         )
 
 
+def _is_other_life(target: Target, record: TargetRecord) -> bool:
+    # Any other start is another life, an earlier one too: the clock of a
+    # target may have gone back, and records come in the store's order.
+    known = target.record.born_ms
+    return None not in {known, record.born_ms} and known != record.born_ms
+
+
 def chains(parts: Iterable[PromptPart]) -> list[tuple[str, PromptPart]]:
     """Return each part with the name of the prompt up to its end."""
     # A part is kept only with all parts before it, so its name alone would
--- a/jacinthfold/platform/documents.py
+++ b/jacinthfold/platform/documents.py
@@ -11,13 +11,23 @@
     Service,
     TargetRecord,
 )
-from jacinthfold.catalogue.records import Kind
+from jacinthfold.catalogue.records import Kind, UnreadableRecordError
+from jacinthfold.platform import entries
 
 ROUTES_KEY = 'op/config'
 EVACUATION_PREFIX = 'op/evacuate/'
 TARGET_PREFIX = 'servers/'
 HOST_PREFIX = 'hosts/'
 LISTED_PREFIXES = ('op/', TARGET_PREFIX, HOST_PREFIX)
+# What reading a document of other shapes than expected may raise.
+MALFORMED_ERRORS = (
+    ValueError,
+    LookupError,
+    TypeError,
+    AttributeError,
+    ArithmeticError,
+    RecursionError,
+)
 _MS = 1000
 
 
@@ -38,30 +48,24 @@
         return Kind.OTHER, key
 
     def read_routes(self, content: bytes) -> RouteTable:
-        """Return the operator's configuration."""
-        document = json.loads(content)
-        services = {
-            entry['name']: _read_service(entry)
-            for entry in document['backends']
-        }
-        routes = tuple(_read_route(entry) for entry in document['routes'])
-        limits = _read_limits(document.get('limits') or {})
-        return RouteTable(document['version'], routes, services, limits)
+        """Return the operator's configuration; raise UnreadableRecordError."""
+        try:
+            return _read_table(json.loads(content))
+        except MALFORMED_ERRORS as error:
+            raise UnreadableRecordError(repr(error)) from error
 
     def read_target(self, name: str, content: bytes) -> TargetRecord:
-        """Return what a target tells of itself."""
-        document = json.loads(content)
-        host, _, port = document['address'].rpartition(':')
-        record = TargetRecord(
-            name, document['backend'], (host, int(port)), document['zone']
-        )
-        record.slots = int(document.get('slots') or 1)
-        record.is_draining = document.get('state') == 'draining'
-        record.cold_seconds = document.get('warmup-left-ms', 0) / _MS
-        remaining_ms = document.get('remaining-ms')
-        if remaining_ms is not None:
-            record.remaining_seconds = remaining_ms / _MS
-        return record
+        """Return what a target tells of itself; raise UnreadableRecordError."""
+        return entries.read_target(name, content)
+
+
+def _read_table(document: dict[str, Any]) -> RouteTable:
+    services = {
+        entry['name']: _read_service(entry) for entry in document['backends']
+    }
+    routes = tuple(_read_route(entry) for entry in document['routes'])
+    limits = _read_limits(document.get('limits') or {})
+    return RouteTable(int(document['version']), routes, services, limits)
 
 
 def _read_route(entry: dict[str, Any]) -> Route:
--- a/jacinthfold/platform/store.py
+++ b/jacinthfold/platform/store.py
@@ -7,6 +7,7 @@
 from typing import Any
 from urllib.parse import urlencode
 
+from jacinthfold import logs
 from jacinthfold.catalogue.metadata import (
     LeaseLostError,
     MetadataError,
@@ -139,5 +140,15 @@
 def _record(item: dict[str, Any]) -> Record:
     content = None
     if not item.get('removed'):
-        content = base64.b64decode(item['value'])
+        content = _content(item)
     return Record(item['key'], int(item['revision']), content)
+
+
+def _content(item: dict[str, Any]) -> bytes:
+    try:
+        return base64.b64decode(item['value'], validate=True)
+    except (ValueError, TypeError, KeyError) as error:
+        # Another writer's item: nothing readable, so that the record counts
+        # as unreadable and the others of the same answer hold.
+        logs.warning('item_unreadable', key=item['key'], reason=str(error))
+        return b''
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -74,6 +74,9 @@
         request.deadline = request.received_at + 15
         return request
 
+    def parts(self, *names):
+        return tuple(PromptPart(name, 1000) for name in names)
+
     def choose(self, request, tried=(), tried_regions=()):
         return self.placer.choose(request, tried, tried_regions)
 
--- a/tests/gateway/test_translation.py
+++ b/tests/gateway/test_translation.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from jacinthfold.catalogue.follower import decode_host
+from jacinthfold.catalogue.host_codec import decode_host
 from jacinthfold.catalogue.model import HostRecord, Repetition
 from jacinthfold.catalogue.records import Catalogue, Kind, Record
 from jacinthfold.config import SettingsError
@@ -56,12 +56,26 @@
 
 
 def target(instance, revision, **fields):
-    document = {'backend': 'b', 'address': '10.0.0.1:8', 'zone': 'z', **fields}
     return Record(
-        f'servers/{instance}', revision, json.dumps(document).encode()
+        f'servers/{instance}', revision, json.dumps(entry(**fields)).encode()
     )
 
 
+def entry(**fields):
+    """Return what a target writes of itself."""
+    return {
+        'backend': 'b',
+        'address': '10.0.0.1:8',
+        'zone': 'z',
+        'version': 'v1',
+        'slots': 4,
+        'state': 'ready',
+        'seq': 1,
+        'warmup-left-ms': 0,
+        **fields,
+    }
+
+
 def configuration(version, revision):
     document = {
         'version': version,
--- a/tests/gateway/test_watchers.py
+++ b/tests/gateway/test_watchers.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from jacinthfold.catalogue.follower import decode_host
+from jacinthfold.catalogue.host_codec import decode_host
 from jacinthfold.catalogue.model import HostRecord
 from jacinthfold.catalogue.records import Catalogue, Record
 from jacinthfold.fleet.heartbeats import REMOTE_FANOUT, Heartbeats
