A busy target keeps its request; only a silent one loses it

Cause: a stream that may be repeated was taken from its engine after 1.5 aims without an event. Ruled out: dead engines (those refuse connections or cut them, and are counted apart).

Change: a target from which this host heard anything in that time is busy, and keeps the request up to three aims. The test fails when silence alone decides (seen).

--- a/jacinthfold/fleet/table.py
+++ b/jacinthfold/fleet/table.py
@@ -134,6 +134,11 @@
             and (entry.is_registered or self._is_live(entry))
         ]
 
+    def heard_at(self, name: str) -> float:
+        """Return when a host was last heard, by the clock of this table."""
+        entry = self._entries.get(name)
+        return entry.heard_at if entry else float('-inf')
+
     def reaching_store(self, data_centre: str) -> list[str]:
         """Return names of live hosts of a data centre that reach the store."""
         return [
--- a/jacinthfold/placement/targets.py
+++ b/jacinthfold/placement/targets.py
@@ -48,6 +48,7 @@
         'ejected_until',
         'failing_share',
         'failures',
+        'heard_at',
         'is_removed',
         'last_resort_until',
         'own',
@@ -68,6 +69,8 @@
         self.paced_until = 0.0
         self.ejected_until = 0.0
         self.unreachable_until = 0.0
+        # When any answer of the target last brought something here.
+        self.heard_at = float('-inf')
         self.failures = 0
         self.failing_share = 0.0
         self.slowness = 1.0
--- a/jacinthfold/proxy/attempts.py
+++ b/jacinthfold/proxy/attempts.py
@@ -1,6 +1,8 @@
 """Send a request to a target or to another region's host, once."""
 
 import random
+from collections.abc import Callable
+from functools import partial
 from http import HTTPStatus
 
 from jacinthfold.catalogue.model import HostRecord, Repetition
@@ -23,6 +25,7 @@
 )
 from jacinthfold.proxy.metrics import ProxyMetrics
 from jacinthfold.proxy.outcome import Ending, Outcome
+from jacinthfold.proxy.patience import Patience
 from jacinthfold.proxy.pool import Place, Pool
 from jacinthfold.proxy.progress import Progress
 
@@ -34,6 +37,9 @@
 # this many times the aim, while the caller still has time for another.
 SILENCE_AIMS = 1.5
 SILENCE_AT_LEAST_SECONDS = 0.8
+# The same for a target that answers others meanwhile: callers leave a stream
+# without an event after four aims, and the last one is left for another try.
+HANG_AIMS = 3.0
 
 
 class Attempts:
@@ -76,7 +82,9 @@
         if estimate.keeper is not None:
             place = estimate.keeper.record.address
             headers.extend(self._dialect.copy_headers(place))
-        delivery = self._delivery(request, answer, progress)
+        patience = self._patience(request, lambda: target.heard_at)
+        delivery = Delivery(request, answer, progress, patience, self._clock)
+        delivery.on_heard = partial(self._note_heard, target)
         began_at = self._clock.monotonic()
         unread = _Unread(target, request, estimate.cached_tokens)
         delivery.on_first_event = unread.note_read
@@ -115,7 +123,10 @@
                 request, request.deadline - now, now - request.received_at
             )
         )
-        delivery = self._delivery(request, answer, progress)
+        patience = self._patience(
+            request, lambda: self._hosts.heard_at(host.name)
+        )
+        delivery = Delivery(request, answer, progress, patience, self._clock)
         delivery.is_at_peer = True
         place = (host.address, host.relay_port, host.name)
         outcome = await self._exchange(
@@ -133,17 +144,19 @@
         ]
         return self._random.choice(found) if found else None
 
-    def _delivery(
-        self, request: Request, answer: CallerAnswer, progress: Progress
-    ) -> Delivery:
-        silence_seconds = self._silence(request)
-        return Delivery(request, answer, progress, silence_seconds, self._clock)
-
-    def _silence(self, request: Request) -> float | None:
-        if request.route.repetition is Repetition.NEVER:
-            return None
+    def _patience(
+        self, request: Request, last_heard: Callable[[], float]
+    ) -> Patience:
         aim = request.route.aim_seconds
-        return max(SILENCE_AIMS * aim, SILENCE_AT_LEAST_SECONDS)
+        silence = max(SILENCE_AIMS * aim, SILENCE_AT_LEAST_SECONDS)
+        hang = max(HANG_AIMS * aim, 2 * SILENCE_AT_LEAST_SECONDS)
+        is_once = request.route.repetition is Repetition.NEVER
+        return Patience(
+            None if is_once else silence, hang, last_heard, self._clock
+        )
+
+    def _note_heard(self, target: Target) -> None:
+        target.heard_at = self._clock.monotonic()
 
     async def _exchange(
         self,
--- a/jacinthfold/proxy/delivery.py
+++ b/jacinthfold/proxy/delivery.py
@@ -1,6 +1,5 @@
 """Bring a target's answer to the caller, whole or visibly broken."""
 
-import asyncio
 from collections.abc import Callable
 from http import HTTPStatus
 
@@ -12,6 +11,7 @@
 from jacinthfold.proxy.exchange import Exchange
 from jacinthfold.proxy.messages import AnswerHead, Request
 from jacinthfold.proxy.outcome import Ending, Outcome
+from jacinthfold.proxy.patience import Patience
 from jacinthfold.proxy.progress import Progress
 
 # Plain answers are held until they are proven whole; this bounds one.
@@ -30,14 +30,14 @@
         request: Request,
         answer: CallerAnswer,
         progress: Progress,
-        silence_seconds: float | None,
+        patience: Patience,
         clock: Clock,
     ) -> None:
-        """Take both ends, and how long a repeatable one may say nothing."""
+        """Take both ends, and how long the answer is waited for."""
         self._request = request
         self._answer = answer
         self._progress = progress
-        self._silence_seconds = silence_seconds
+        self._patience = patience
         self._clock = clock
         self.limit_bytes = WHOLE_LIMIT_BYTES
         self.first_event_at = 0.0
@@ -45,6 +45,7 @@
         # target that did could make an order that ran look not run.
         self.is_at_peer = False
         self.on_first_event: Callable[[], None] | None = None
+        self.on_heard: Callable[[], None] = _nothing
 
     def note_leaves(self) -> None:
         """Take that the request's first byte is about to leave."""
@@ -52,15 +53,19 @@
 
     async def head_of(self, exchange: Exchange) -> AnswerHead:
         """Return the head of an answer; raise TimeoutError on silence."""
-        async with asyncio.timeout(self._silence_seconds):
-            return await exchange.head()
+        head = await self._patience.wait(
+            exchange.head(), self._patience.silence_seconds
+        )
+        self.on_heard()
+        return head
 
     async def deliver(self, exchange: Exchange, head: AnswerHead) -> Outcome:
         """Bring an answer to the caller."""
         if self._request.route.is_stream and head.status == HTTPStatus.OK:
             return await self._deliver_events(exchange, head)
-        async with asyncio.timeout(self._silence_seconds):
-            body = await exchange.whole(self.limit_bytes)
+        body = await self._patience.wait(
+            exchange.whole(self.limit_bytes), self._patience.silence_seconds
+        )
         is_failure = head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
         if self._answer.has_started or (is_failure and self._may_repeat()):
             reason = f'status_{head.status}'
@@ -80,8 +85,10 @@
     ) -> Outcome:
         splitter = EventSplitter(self._progress.last_event_id)
         while True:
-            async with asyncio.timeout(self._pause_limit()):
-                part = await exchange.part()
+            part = await self._patience.wait(
+                exchange.part(), self._pause_limit()
+            )
+            self.on_heard()
             if part is None:
                 break
             await self._pass_on(splitter.feed(part), head)
@@ -111,10 +118,9 @@
             self._progress.first_seconds = elapsed
 
     def _pause_limit(self) -> float | None:
-        if self._silence_seconds is None:
-            return None
-        if not self.first_event_at:
-            return self._silence_seconds
+        silence_seconds = self._patience.silence_seconds
+        if silence_seconds is None or not self.first_event_at:
+            return silence_seconds
         gap = self._request.route.gap_aim_seconds
         return max(SILENT_GAPS * gap, SILENT_GAP_AT_LEAST_SECONDS)
 
@@ -123,3 +129,7 @@
         if route.repetition is Repetition.NEVER:
             return False
         return self._progress.runs + 1 < route.max_attempts
+
+
+def _nothing() -> None:
+    """Hear of nothing."""
--- a/tests/gateway/target_standin.py
+++ b/tests/gateway/target_standin.py
@@ -106,6 +106,21 @@
     return False
 
 
+def late(seconds, script):
+    """Return a script that begins after a while, unless its caller leaves."""
+
+    async def wait_first(target, request, writer):
+        target.executed.append(request)
+        for _ in range(int(seconds / 0.01)):
+            await asyncio.sleep(0.01)
+            if request.is_left:
+                return False
+        target.executed.remove(request)
+        return await script(target, request, writer)
+
+    return wait_first
+
+
 def event(number):
     """Return one event of a stream."""
     return f'id: {number}\ndata: piece {number}\n\n'.encode()
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -134,6 +134,30 @@
     assert answer.body == whole(1, 5)
 
 
+def test_busy_engine_is_not_left_for_another(engines):
+    """An engine streams to others and begins this answer after two seconds.
+
+    Taken away after its first silence the request would be read again at
+    the other engine, and be later still.
+    """
+    targets = list(engines.targets.values())
+    for target in targets:
+        target.script = standin.stream(60, pause_seconds=0.1)
+    # The same prompt: both requests are kept together at one engine.
+    other = Connection(engines.hosts['north-a'].callers)
+    other.send('/chat/1', 'POST', PROMPT, b'p', new_id())
+    wait_until(
+        lambda: any(one.executed for one in targets), 'an engine streams'
+    )
+    for target in targets:
+        target.executed.clear()
+        target.script = standin.late(2.0, standin.stream(5))
+    answer = read(engines, '/review/1', seconds=10)
+    assert answer.body == whole(1, 5)
+    assert sum(len(one.executed) for one in targets) == 1
+    other.close()
+
+
 def test_stream_resumed_by_its_caller_goes_on(engines):
     answer = engines.ask(
         'north-a',
