Try: engines' speed learned, kept parts believed by what was sent

The first engine in a subject's order counted as having read the subject though nobody had sent it there; 78 tokens a ms stood as a constant (these engines: some 50, and more for each pair of tokens); hosts did not know what others had sent.

Change: a law for each service (constant, token, pair) fitted by least squares to own answers and to the sums that near hosts tell; kept parts believed only where this host or a heartbeat says they were sent, dropped as newer prompts fill the memory; copying by the declared bytes and link; slowness as a ratio of sums. One test said that an engine keeps a subject that nobody sent there: it now sends it first.

--- a/jacinthfold/catalogue/model.py
+++ b/jacinthfold/catalogue/model.py
@@ -82,6 +82,7 @@
         'cold_requests_per_second',
         'cold_seconds',
         'connection_limit',
+        'copy_seconds_per_token',
         'memory_tokens',
         'name',
         'slots',
@@ -96,6 +97,9 @@
         # Both are 0 where the service runs no model.
         self.slots = 0
         self.memory_tokens = 0
+        # What a target needs to copy a token that another one keeps; None
+        # where targets can't copy.
+        self.copy_seconds_per_token: float | None = None
 
     @property
     def is_engine(self) -> bool:
--- a/jacinthfold/fleet/heartbeats.py
+++ b/jacinthfold/fleet/heartbeats.py
@@ -22,7 +22,8 @@
 from jacinthfold.clock import Clock
 from jacinthfold.fleet.table import HostEntry, HostState, HostTable
 from jacinthfold.placement.regions import RegionReport, RegionView
-from jacinthfold.placement.targets import Load, TargetTable
+from jacinthfold.placement.target import Load
+from jacinthfold.placement.targets import TargetTable
 
 BEAT_SECONDS = 0.2
 BEAT_LIMIT_SECONDS = 0.4
@@ -35,6 +36,9 @@
 # square of the hosts: of a region of 22 each hears 2.6 times a second and not
 # 18 (worked out).
 REMOTE_FANOUT = 3
+# What engines were learned to do is told to the own region every fifth beat:
+# it changes over seconds.
+LAWS_EVERY_BEATS = 5
 DATAGRAM_LIMIT_BYTES = 60000
 # A dead host refuses every datagram; one line in this time is enough.
 UNSENT_TOLD_SECONDS = 5.0
@@ -62,6 +66,12 @@
     loads: dict[str, LoadFigures]
     # By service.
     rooms: dict[str, RoomFigures]
+    # Prompt tokens sent to lives of targets since this host started.
+    read_tokens: dict[str, float] = {}
+    # Names of long shared parts that were sent to them in the last moments.
+    uses: dict[str, list[str]] = {}
+    # What this host's answers say of each service's engines; now and then.
+    laws: dict[str, list[float]] = {}
 
 
 _decoder = msgspec.json.Decoder(Heartbeat)
@@ -120,11 +130,12 @@
         self._count += 1
         is_remote_due = self._count % REMOTE_EVERY_BEATS == 0
         content = self._message()
-        entries = self._near()
-        if is_remote_due:
-            entries += self._some_remote()
-        for place in self._places(entries):
+        for place in self._places(self._near()):
             self._send(content, place)
+        if is_remote_due:
+            content = self._message(is_near=False)
+            for place in self._places(self._some_remote()):
+                self._send(content, place)
 
     def announce(self) -> None:
         """Tell every host at once what this one is doing now."""
@@ -202,8 +213,29 @@
         if self._transport is not None and len(content) < DATAGRAM_LIMIT_BYTES:
             self._transport.sendto(content, place)
 
-    def _message(self) -> bytes:
-        loads = {
+    def _message(self, *, is_near: bool = True) -> bytes:
+        heartbeat = self._heartbeat()
+        if is_near:
+            heartbeat.loads = self._loads()
+            now = self._clock.monotonic()
+            heartbeat.read_tokens = self._targets.own_read_tokens()
+            heartbeat.uses = self._targets.recent_uses.by_life(now)
+            if self._count % LAWS_EVERY_BEATS == 0:
+                heartbeat.laws = self._targets.laws.own_sums()
+        return msgspec.json.encode(heartbeat)
+
+    def _heartbeat(self) -> Heartbeat:
+        return Heartbeat(
+            self._own,
+            self._hosts.own_state,
+            self._catalogue.revision,
+            self.reaches_store(),
+            {},
+            self._rooms(),
+        )
+
+    def _loads(self) -> dict[str, LoadFigures]:
+        return {
             life: (
                 load.requests,
                 load.unread_tokens,
@@ -212,15 +244,6 @@
             )
             for life, load in self._targets.own_loads().items()
         }
-        heartbeat = Heartbeat(
-            self._own,
-            self._hosts.own_state,
-            self._catalogue.revision,
-            self.reaches_store(),
-            loads,
-            self._rooms(),
-        )
-        return msgspec.json.encode(heartbeat)
 
     def _rooms(self) -> dict[str, RoomFigures]:
         if self._catalogue.routes is None:
@@ -254,6 +277,10 @@
                 for life, figures in heartbeat.loads.items()
             }
             self._targets.take_report(host.name, loads, now)
+            self._targets.take_uses(
+                host.name, heartbeat.read_tokens, heartbeat.uses
+            )
+            self._targets.laws.take_sums(host.name, heartbeat.laws, now)
 
 
 def _report(region: str, heartbeat: Heartbeat, now: float) -> RegionReport:
--- a/jacinthfold/gateway/knowledge.py
+++ b/jacinthfold/gateway/knowledge.py
@@ -23,6 +23,7 @@
 from jacinthfold.gateway.settings import GatewaySettings
 from jacinthfold.placement.budget import RetryBudgets
 from jacinthfold.placement.choice import Placer
+from jacinthfold.placement.law import ReadingLaw
 from jacinthfold.placement.pace import ColdPace
 from jacinthfold.placement.regions import RegionView
 from jacinthfold.placement.targets import TargetTable
@@ -30,6 +31,8 @@
 from jacinthfold.proxy.pool import Pool
 
 HOUSEKEEPING_SECONDS = 0.1
+# What engines were learned to do is logged this often.
+LAWS_TOLD_SECONDS = 10.0
 
 
 class Knowledge:
@@ -56,6 +59,8 @@
         self.follower = Follower(adapter.store, self.catalogue, clock)
         self.registration = Registration(adapter.store, own)
         self.regions = RegionView(own.region, clock)
+        self.regions.laws = self.targets.laws
+        self._laws_told_at = clock.monotonic()
         self._pace = ColdPace(own.name)
         self.placer = Placer(
             own.region, self.targets, self._pace, self.regions, clock, source
@@ -136,6 +141,7 @@
             for target in self.targets.forget_gone():
                 self.pool.forget(target.place)
                 logs.event('target_gone', target=target.record.instance)
+            self._tell_laws()
 
     def dump(self) -> dict[str, Any]:
         """Return what this host believes."""
@@ -157,6 +163,10 @@
                 }
                 for entry in self.hosts.others()
             ],
+            'engine_laws': {
+                service: _law_fields(law)
+                for service, law in self.targets.laws.all().items()
+            },
             'targets': [
                 {
                     'instance': target.record.instance,
@@ -175,6 +185,14 @@
         is_followed = self.follower.is_reached or not self.follower.watches()
         return is_followed and self.registration.is_reached
 
+    def _tell_laws(self) -> None:
+        now = self._clock.monotonic()
+        if now - self._laws_told_at < LAWS_TOLD_SECONDS:
+            return
+        self._laws_told_at = now
+        for service, law in self.targets.laws.all().items():
+            logs.event('engine_law', service=service, **_law_fields(law))
+
     def _become_ready(self) -> None:
         if self.hosts.own_state is not HostState.STARTING:
             return
@@ -187,3 +205,11 @@
     def _follow_hosts(self) -> None:
         self._pace.follow_hosts(self.hosts.names_in(self.own.region))
         self.budgets.follow_hosts(1 + len(self.hosts.others()))
+
+
+def _law_fields(law: ReadingLaw) -> dict[str, float]:
+    return {
+        'tokens_per_ms': round(0.001 / law.seconds_per_token, 1),
+        'ms_per_million_pairs': round(law.seconds_per_pair * 1000, 3),
+        'first_event_ms': round(law.seconds * 1000, 1),
+    }
--- a/jacinthfold/gateway/node.py
+++ b/jacinthfold/gateway/node.py
@@ -88,6 +88,7 @@
                 known.pool,
                 known.hosts,
                 known.regions,
+                known.targets.laws,
                 dialect,
                 self.metrics,
                 self._clock,
--- a/jacinthfold/placement/choice.py
+++ b/jacinthfold/placement/choice.py
@@ -9,11 +9,10 @@
 from jacinthfold.placement.estimates import Estimate, Estimator
 from jacinthfold.placement.pace import ColdPace
 from jacinthfold.placement.regions import RegionView, RemoteRegion
-from jacinthfold.placement.targets import Target, TargetTable
+from jacinthfold.placement.target import Target
+from jacinthfold.placement.targets import TargetTable
 from jacinthfold.proxy.messages import Request
 
-_MS_PER_SECOND = 1000.0
-
 
 class SendTo:
     """Say that a target here is to run the request."""
@@ -105,7 +104,12 @@
         if target.cold_until > now:
             service = self._targets.service(target.record.service)
             self._pace.note_sent(target, service.cold_requests_per_second, now)
-        target.remember(request.facts.parts, now)
+        estimate = choice.estimate
+        target.note_sent(request.facts.chain, estimate.unread_tokens)
+        shared = request.facts.shared_chain
+        if shared and shared[-1].tokens >= limits.COPY_AT_LEAST_TOKENS:
+            uses = self._targets.recent_uses
+            uses.note(target.record.life, shared[-1].name, now)
 
     def room(self, service: str, *, is_urgent: bool) -> float | None:
         """Return the least wait for a service here, None with no target."""
@@ -140,20 +144,14 @@
         )
         if not shared:
             return [
-                self._estimator.estimate(request, one, now, 0) for one in usable
+                self._estimator.estimate(request, one, now) for one in usable
             ]
         targets = {target.record.instance: target for target in usable}
-        kept_tokens = sum(part.tokens for part in shared)
-        first, *others = in_order(shared, targets)
-        keeper = targets[first]
-        found = [self._estimator.estimate(request, keeper, now, kept_tokens)]
-        found.extend(
-            self._estimator.copying(
-                request, targets[name], now, keeper, kept_tokens
-            )
-            for name in others
-        )
-        return found
+        ordered = [targets[name] for name in in_order(shared, targets)]
+        return [
+            self._estimator.copying(request, one, now, ordered)
+            for one in ordered
+        ]
 
     def _is_kept(
         self, request: Request, estimate: Estimate, now: float
@@ -244,11 +242,9 @@
             return seconds < aim * PLAIN_LATE_AIMS
         # A large prompt takes most of its aim by itself: however empty the
         # targets, it is late, and refusing it would starve it.
-        read_seconds = (
-            request.facts.prompt_tokens
-            / limits.READ_TOKENS_PER_MS
-            / _MS_PER_SECOND
-        )
+        law = self._estimator.law(request.service_name)
+        work = law.work(request.facts.prompt_tokens, 0)
+        read_seconds = law.reading_seconds(work)
         is_large = read_seconds > aim / 2
         return is_large and seconds - read_seconds < aim / 2
 
--- a/jacinthfold/placement/estimates.py
+++ b/jacinthfold/placement/estimates.py
@@ -1,35 +1,45 @@
 """Estimate when a target would begin to answer a request."""
 
+from collections.abc import Iterable
+
+from jacinthfold.catalogue.model import Service
 from jacinthfold.placement import limits
-from jacinthfold.placement.targets import Target, TargetTable
+from jacinthfold.placement.law import ReadingLaw, pairs_of
+from jacinthfold.placement.target import Target
+from jacinthfold.placement.targets import TargetTable
 from jacinthfold.proxy.messages import Request
 
-_MS_PER_SECOND = 1000.0
-
 
 class Estimate:
     """Hold when a target's first event is expected, and why."""
 
     __slots__ = (
+        'ahead',
         'cached_tokens',
         'keeper',
+        'pairs',
+        'running_seconds',
         'seconds',
         'target',
+        'unread_tokens',
         'wait_seconds',
+        'work',
     )
 
     def __init__(
-        self,
-        target: Target,
-        wait_seconds: float,
-        own_seconds: float,
-        cached_tokens: int,
+        self, target: Target, wait: 'Wait', own_seconds: float
     ) -> None:
         """Take the wait for others and the request's own time."""
         self.target = target
-        self.wait_seconds = wait_seconds
-        self.seconds = wait_seconds + own_seconds
-        self.cached_tokens = cached_tokens
+        self.ahead = wait.ahead
+        self.running_seconds = wait.running_seconds
+        self.wait_seconds = wait.seconds
+        self.seconds = wait.seconds + own_seconds
+        self.cached_tokens = 0
+        self.unread_tokens = 0
+        # The own reading, in tokens of a short prompt, and in million pairs.
+        self.work = 0.0
+        self.pairs = 0.0
         # Another target from which this one is to copy the shared parts.
         self.keeper: Target | None = None
 
@@ -39,6 +49,20 @@
         return self.keeper.record.instance if self.keeper else ''
 
 
+class Wait:
+    """Hold what a request waits for at a target."""
+
+    __slots__ = ('ahead', 'running_seconds', 'seconds')
+
+    def __init__(
+        self, seconds: float, ahead: float = 0.0, running_seconds: float = 0.0
+    ) -> None:
+        """Take the whole time, and the reading and the batch within it."""
+        self.seconds = seconds
+        self.ahead = ahead
+        self.running_seconds = running_seconds
+
+
 class Estimator:
     """Estimate for the targets that are known."""
 
@@ -48,56 +72,102 @@
         """Take the targets."""
         self._targets = targets
 
+    def law(self, service: str) -> ReadingLaw:
+        """Return what was learned of a service's engines."""
+        return self._targets.laws.of(service)
+
     def estimate(
-        self, request: Request, target: Target, now: float, kept_tokens: int
+        self, request: Request, target: Target, now: float
     ) -> Estimate:
         """Return when a target's first event is expected."""
         service = self._targets.service(request.service_name)
-        wait = self.wait_seconds(target, now, is_urgent=request.route.is_urgent)
+        wait = self.wait(target, now, is_urgent=request.route.is_urgent)
         if not service.is_engine:
-            return Estimate(target, wait, target.seconds_per_call, 0)
-        facts = request.facts
-        cached = target.cached_tokens(facts.parts, now) or kept_tokens
-        unread = max(0, facts.prompt_tokens - cached)
-        own = unread / limits.READ_TOKENS_PER_MS / _MS_PER_SECOND
-        own += limits.FIRST_EVENT_SECONDS
-        return Estimate(target, wait, own, cached)
+            return Estimate(target, wait, target.seconds_per_call)
+        kept = target.kept.tokens(request.facts.chain, service.memory_tokens)
+        return self._reading(request, target, wait, kept)
 
     def copying(
         self,
         request: Request,
         target: Target,
         now: float,
-        keeper: Target,
-        kept_tokens: int,
+        keepers: Iterable[Target],
     ) -> Estimate:
-        """Return the estimate of a target that may copy from a keeper."""
-        plain = self.estimate(request, target, now, 0)
-        if kept_tokens - plain.cached_tokens < limits.COPY_AT_LEAST_TOKENS:
+        """Return the estimate of a target that may copy shared parts."""
+        plain = self.estimate(request, target, now)
+        service = self._targets.service(request.service_name)
+        per_token = service.copy_seconds_per_token
+        if per_token is None:
             return plain
-        copying = self.estimate(request, target, now, kept_tokens)
-        copying.seconds += limits.COPY_SECONDS
-        copying.keeper = keeper
-        return copying
+        best = plain
+        for keeper in keepers:
+            copied = self._copying(request, plain, keeper, service)
+            if copied is not None and copied.seconds < best.seconds:
+                best = copied
+        return best
 
     def wait_seconds(
         self, target: Target, now: float, *, is_urgent: bool
     ) -> float:
         """Return how long a request waits for others at a target."""
+        return self.wait(target, now, is_urgent=is_urgent).seconds
+
+    def wait(self, target: Target, now: float, *, is_urgent: bool) -> Wait:
+        """Return what a request waits for at a target."""
         service = self._targets.service(target.record.service)
         load = target.load(now)
         slots = max(1, target.record.slots)
         if not service.is_engine:
             waiting = max(0, load.requests + 1 - slots)
-            return waiting * target.seconds_per_call / slots
-        tokens = load.unread_tokens * limits.OVERTAKEN_SHARE
+            return Wait(waiting * target.seconds_per_call / slots)
+        ahead = load.unread_tokens * limits.OVERTAKEN_SHARE
         if is_urgent:
             others = load.unread_tokens - load.urgent_tokens
-            tokens = load.urgent_tokens + others * limits.OTHERS_SHARE
-        seconds = tokens / limits.READ_TOKENS_PER_MS / _MS_PER_SECOND
-        seconds += load.requests * limits.RUNNING_SECONDS
+            ahead = load.urgent_tokens + others * limits.OTHERS_SHARE
+        running_seconds = load.requests * limits.RUNNING_SECONDS
+        seconds = running_seconds + self.law(service.name).reading_seconds(
+            ahead
+        )
         if load.requests >= slots:
             seconds += limits.FULL_SECONDS
         if load.held_tokens > service.memory_tokens * limits.MEMORY_SHARE:
             seconds += limits.FULL_SECONDS
-        return seconds * max(1.0, min(target.slowness, 4.0))
+        slowness = max(1.0, min(target.slowness, limits.SLOWNESS_COUNTED))
+        return Wait(seconds * slowness, ahead, running_seconds)
+
+    def _reading(
+        self, request: Request, target: Target, wait: Wait, kept_tokens: int
+    ) -> Estimate:
+        law = self.law(request.service_name)
+        unread = max(0, request.facts.prompt_tokens - kept_tokens)
+        work = law.work(unread, kept_tokens)
+        found = Estimate(target, wait, law.first_event_seconds(work))
+        found.cached_tokens = kept_tokens
+        found.unread_tokens = unread
+        found.work = work
+        found.pairs = pairs_of(unread, kept_tokens)
+        return found
+
+    def _copying(
+        self,
+        request: Request,
+        plain: Estimate,
+        keeper: Target,
+        service: Service,
+    ) -> Estimate | None:
+        if keeper is plain.target or service.copy_seconds_per_token is None:
+            return None
+        shared = request.facts.shared_chain
+        kept = keeper.kept.tokens(shared, service.memory_tokens)
+        copied = kept - plain.cached_tokens
+        if copied < limits.COPY_AT_LEAST_TOKENS:
+            return None
+        wait = Wait(plain.wait_seconds, plain.ahead, plain.running_seconds)
+        found = self._reading(request, plain.target, wait, kept)
+        seconds = copied * service.copy_seconds_per_token
+        if keeper.record.data_centre != plain.target.record.data_centre:
+            seconds *= limits.COPY_ACROSS_FACTOR
+        found.seconds += limits.COPY_SECONDS + seconds
+        found.keeper = keeper
+        return found
--- a/jacinthfold/placement/limits.py
+++ b/jacinthfold/placement/limits.py
@@ -1,11 +1,5 @@
 """Name the figures that placement goes by, with their units and sources."""
 
-# Prompt tokens that an engine reads in a millisecond, from the deployment's
-# sheets (81.9); a little less, so that an estimate errs on the late side.
-READ_TOKENS_PER_MS = 78.0
-# Time from the end of reading to the first event: one batch of decoding,
-# measured on an idle engine.
-FIRST_EVENT_SECONDS = 0.06
 # Engines read urgent prompts before others, in chunks between what is already
 # being read. Share of the other unread tokens that an urgent request waits
 # for: on a loaded day requests with 0.44 s of all tokens before them got their
@@ -33,9 +27,6 @@
 FAILURES_TO_EJECT = 3
 # A load report of another host counts this long; reports come every 200 ms.
 REPORT_SECONDS = 1.5
-# Beliefs about cached prompt parts: how many per target and how long.
-CACHED_CHAINS = 400
-CACHED_SECONDS = 60.0
 # What a request waits for a slot or for memory that another one must free: an
 # answer of 385 tokens takes 2 to 3.5 s, and of 64 one ends long before. A
 # guess on the late side, not measured.
@@ -61,8 +52,13 @@
 # target's requests that one leading part may bring.
 LEADING_PARTS_KEPT = 256
 LEADING_SHARE = 0.5
-# Copying shared parts between targets of a region: 5 ms to begin and 0.5 ms for
-# each 1,000 tokens, against 13 ms to read those. Shared tokens read again fell
-# from 13.8 to 8.5 million on a day of 64 hosts (with KEEP_SHARE at 0.75).
+# Copying shared parts between targets of a region: the time to begin, beside
+# the bytes that the operator declares for a token and a link.
 COPY_SECONDS = 0.012
+# Links between data centres take twice as long.
+COPY_ACROSS_FACTOR = 2.0
+# Fewer shared tokens than these are read: they take no longer than the begin
+# of a copy, and are not worth telling other hosts of.
 COPY_AT_LEAST_TOKENS = 2000
+# How far a target's slowness stretches its wait.
+SLOWNESS_COUNTED = 4.0
--- a/jacinthfold/placement/pace.py
+++ b/jacinthfold/placement/pace.py
@@ -9,7 +9,7 @@
 
 from jacinthfold.hashing import rank
 from jacinthfold.placement import limits
-from jacinthfold.placement.targets import Target
+from jacinthfold.placement.target import Target
 
 _SECOND = 1.0
 
--- a/jacinthfold/placement/regions.py
+++ b/jacinthfold/placement/regions.py
@@ -4,9 +4,9 @@
 
 from jacinthfold.clock import Clock
 from jacinthfold.placement import limits
+from jacinthfold.placement.law import Laws
 from jacinthfold.proxy.messages import Request
 
-_MS_PER_SECOND = 1000.0
 # Own requests on their way to a region count until its next heartbeats have
 # taken them in: two heartbeats and the trip.
 ON_ITS_WAY_SECONDS = 0.8
@@ -53,6 +53,7 @@
         self._own_region = own_region
         self._clock = clock
         self._reports: dict[str, RegionReport] = {}
+        self.laws = Laws()
         self._on_its_way: list[tuple[float, str, str, float]] = []
 
     def take(self, host: str, report: RegionReport) -> None:
@@ -117,9 +118,8 @@
         return RemoteRegion(name, seconds, tuple(serving))
 
     def _read_seconds(self, request: Request) -> float:
-        tokens = request.facts.prompt_tokens
-        read = tokens / limits.READ_TOKENS_PER_MS / _MS_PER_SECOND
-        return read + limits.FIRST_EVENT_SECONDS
+        law = self.laws.of(request.service_name)
+        return law.first_event_seconds(law.work(request.facts.prompt_tokens, 0))
 
 
 def _seconds(region: RemoteRegion) -> float:
--- a/jacinthfold/placement/targets.py
+++ b/jacinthfold/placement/targets.py
@@ -1,152 +1,14 @@
-"""Hold what is believed of each target."""
+"""Hold what is believed of the targets of all regions."""
 
-from collections import OrderedDict
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
 from jacinthfold import logs
 from jacinthfold.catalogue.model import Service, TargetRecord
 from jacinthfold.clock import Clock
 from jacinthfold.placement import limits
-from jacinthfold.proxy.messages import PromptPart
-
-SPEED_WEIGHT = 0.2
-FAILURE_WEIGHT = 0.25
-
-
-class Load:
-    """Hold requests, unread prompt tokens and memory in use."""
-
-    __slots__ = ('held_tokens', 'requests', 'unread_tokens', 'urgent_tokens')
-
-    def __init__(
-        self,
-        requests: int = 0,
-        unread_tokens: int = 0,
-        held_tokens: int = 0,
-        urgent_tokens: int = 0,
-    ) -> None:
-        """Take the figures; urgent tokens are a part of the unread ones."""
-        self.requests = requests
-        self.unread_tokens = unread_tokens
-        self.held_tokens = held_tokens
-        self.urgent_tokens = urgent_tokens
-
-    def add(self, other: 'Load') -> None:
-        """Add another host's load."""
-        self.requests += other.requests
-        self.unread_tokens += other.unread_tokens
-        self.held_tokens += other.held_tokens
-        self.urgent_tokens += other.urgent_tokens
-
-
-class Target:
-    """Hold one life of a target and what this host saw of it."""
-
-    __slots__ = (
-        'cached',
-        'cold_until',
-        'ejected_until',
-        'failing_share',
-        'failures',
-        'heard_at',
-        'is_removed',
-        'last_resort_until',
-        'own',
-        'paced_until',
-        'record',
-        'reported',
-        'seconds_per_call',
-        'slowness',
-        'unreachable_until',
-    )
-
-    def __init__(self, record: TargetRecord) -> None:
-        """Take what the target tells of itself."""
-        self.record = record
-        self.own = Load()
-        self.reported: dict[str, tuple[float, Load]] = {}
-        self.cold_until = 0.0
-        self.paced_until = 0.0
-        self.ejected_until = 0.0
-        self.unreachable_until = 0.0
-        # When any answer of the target last brought something here.
-        self.heard_at = float('-inf')
-        self.failures = 0
-        self.failing_share = 0.0
-        self.slowness = 1.0
-        self.seconds_per_call = limits.CALL_SECONDS
-        # None while the target stays; else until when it may be used if
-        # nothing else is left.
-        self.last_resort_until: float | None = None
-        self.is_removed = False
-        self.cached: OrderedDict[str, float] = OrderedDict()
-
-    @property
-    def place(self) -> tuple[str, int, str]:
-        """Return address, port and life, under which connections are kept."""
-        return (*self.record.address, self.record.life)
-
-    def load(self, now: float) -> Load:
-        """Return the load of this host and of all that reported lately."""
-        total = Load()
-        total.add(self.own)
-        for heard_at, load in self.reported.values():
-            if now - heard_at < limits.REPORT_SECONDS:
-                total.add(load)
-        return total
-
-    def cached_tokens(self, parts: Iterable[PromptPart], now: float) -> int:
-        """Return how many leading tokens the target probably keeps."""
-        tokens = 0
-        for name, part in chains(parts):
-            seen_at = self.cached.get(name)
-            if seen_at is None or now - seen_at > limits.CACHED_SECONDS:
-                break
-            tokens += part.tokens
-        return tokens
-
-    def remember(self, parts: Iterable[PromptPart], now: float) -> None:
-        """Note that the target has read a prompt."""
-        for name, _ in chains(parts):
-            self.cached[name] = now
-            self.cached.move_to_end(name)
-        while len(self.cached) > limits.CACHED_CHAINS:
-            self.cached.popitem(last=False)
-
-    def note_success(self, seconds: float, expected_seconds: float) -> None:
-        """Take how long an answer took against what was expected."""
-        self.failures = 0
-        self.failing_share *= 1 - FAILURE_WEIGHT
-        ratio = min(8.0, max(0.25, seconds / max(expected_seconds, 0.005)))
-        self.slowness += SPEED_WEIGHT * (ratio - self.slowness)
-
-    def note_failure(self, now: float, *, is_unreachable: bool) -> None:
-        """Take that the target failed a request."""
-        self.failures += 1
-        self.failing_share += FAILURE_WEIGHT * (1 - self.failing_share)
-        if is_unreachable or self.failures >= limits.FAILURES_TO_EJECT:
-            doublings = min(self.failures - 1, 3)
-            seconds = min(
-                limits.EJECT_SECONDS * 2**doublings,
-                limits.EJECT_LIMIT_SECONDS,
-            )
-            self._set_aside(now, seconds, is_unreachable=is_unreachable)
-
-    def _set_aside(
-        self, now: float, seconds: float, *, is_unreachable: bool
-    ) -> None:
-        was_aside = self.ejected_until > now
-        self.ejected_until = now + seconds
-        if is_unreachable:
-            self.unreachable_until = now + seconds
-        if not was_aside:
-            logs.warning(
-                'target_set_aside',
-                target=self.record.instance,
-                failures=self.failures,
-                seconds=seconds,
-                unreachable=is_unreachable,
-            )
+from jacinthfold.placement.kept import RecentUses
+from jacinthfold.placement.law import Laws
+from jacinthfold.placement.target import Load, Target
 
 
 class TargetTable:
@@ -161,6 +23,8 @@
         self._ended: list[Target] = []
         self._services: Mapping[str, Service] = {}
         self.evacuated: frozenset[str] = frozenset()
+        self.laws = Laws()
+        self.recent_uses = RecentUses()
 
     def follow_services(self, services: Mapping[str, Service]) -> None:
         """Take what the operator declared of services."""
@@ -247,6 +111,27 @@
         self._ended = []
         return gone
 
+    def take_uses(
+        self,
+        reporter: str,
+        read_tokens: Mapping[str, float],
+        uses: Mapping[str, list[str]],
+    ) -> None:
+        """Take what lives of targets have read for another host."""
+        for target in self._targets.values():
+            life = target.record.life
+            if life in read_tokens:
+                target.kept.take_counter(reporter, read_tokens[life])
+            target.kept.note(uses.get(life, ()))
+
+    def own_read_tokens(self) -> dict[str, float]:
+        """Return what lives of targets have read for this host."""
+        return {
+            target.record.life: round(target.own_read_tokens)
+            for target in self._targets.values()
+            if target.own_read_tokens
+        }
+
     def take_report(
         self, reporter: str, loads: Mapping[str, Load], now: float
     ) -> None:
@@ -308,15 +193,3 @@
     # target may have gone back, and records come in the store's order.
     known = target.record.born_ms
     return None not in {known, record.born_ms} and known != record.born_ms
-
-
-def chains(parts: Iterable[PromptPart]) -> list[tuple[str, PromptPart]]:
-    """Return each part with the name of the prompt up to its end."""
-    # A part is kept only with all parts before it, so its name alone would
-    # promise too much.
-    named = []
-    name = ''
-    for part in parts:
-        name = f'{name}/{part.name}'
-        named.append((name, part))
-    return named
--- a/jacinthfold/platform/documents.py
+++ b/jacinthfold/platform/documents.py
@@ -29,6 +29,8 @@
     RecursionError,
 )
 _MS = 1000
+_BITS = 8
+_MEGA = 1_000_000
 
 
 class PlatformReader:
@@ -106,6 +108,9 @@
     engine = entry.get('engine') or {}
     service.slots = engine.get('slots') or 0
     service.memory_tokens = engine.get('kv-tokens') or 0
+    if engine.get('moves') and engine.get('link-mbps'):
+        bits = (engine.get('kv-bytes') or 0) * _BITS
+        service.copy_seconds_per_token = bits / engine['link-mbps'] / _MEGA
     return service
 
 
--- a/jacinthfold/proxy/attempts.py
+++ b/jacinthfold/proxy/attempts.py
@@ -9,8 +9,9 @@
 from jacinthfold.clock import Clock
 from jacinthfold.fleet.table import HostTable
 from jacinthfold.placement.estimates import Estimate
+from jacinthfold.placement.law import Answer, Laws
 from jacinthfold.placement.regions import RegionView, RemoteRegion
-from jacinthfold.placement.targets import Target
+from jacinthfold.placement.target import Target
 from jacinthfold.proxy import relay_header
 from jacinthfold.proxy.caller_answer import CallerAnswer
 from jacinthfold.proxy.delivery import Delivery
@@ -50,6 +51,7 @@
         pool: Pool,
         hosts: HostTable,
         regions: RegionView,
+        laws: Laws,
         dialect: Dialect,
         metrics: ProxyMetrics,
         clock: Clock,
@@ -58,6 +60,7 @@
         self._pool = pool
         self._hosts = hosts
         self._regions = regions
+        self._laws = laws
         self._dialect = dialect
         self._metrics = metrics
         self._clock = clock
@@ -86,7 +89,7 @@
         delivery = Delivery(request, answer, progress, patience, self._clock)
         delivery.on_heard = partial(self._note_heard, target)
         began_at = self._clock.monotonic()
-        unread = _Unread(target, request, estimate.cached_tokens)
+        unread = _Unread(estimate, request)
         delivery.on_first_event = unread.note_read
         try:
             outcome = await self._exchange(
@@ -235,7 +238,9 @@
             service = target.record.service
             self._metrics.first_event_seconds.labels(service).observe(seconds)
             target.note_success(seconds, estimate.seconds)
-            if not delivery.first_event_at:
+            if delivery.first_event_at:
+                self._learn_law(estimate, seconds, now)
+            else:
                 target.seconds_per_call += 0.1 * (
                     seconds - target.seconds_per_call
                 )
@@ -245,16 +250,27 @@
         is_unreachable = outcome.reason.startswith('unreachable')
         target.note_failure(now, is_unreachable=is_unreachable)
 
+    def _learn_law(
+        self, estimate: Estimate, seconds: float, now: float
+    ) -> None:
+        target = estimate.target
+        if target.cold_until > now or estimate.keeper is not None:
+            return
+        tokens = estimate.ahead + estimate.unread_tokens
+        answer = Answer(
+            tokens, estimate.pairs, seconds - estimate.running_seconds
+        )
+        self._laws.of(target.record.service).note(answer, now)
+
 
 class _Unread:
     """Count a request's load on a target while it is there."""
 
-    def __init__(
-        self, target: Target, request: Request, cached_tokens: int
-    ) -> None:
+    def __init__(self, estimate: Estimate, request: Request) -> None:
         facts = request.facts
+        target = estimate.target
         self._target = target
-        self._unread = max(0, facts.prompt_tokens - cached_tokens)
+        self._unread = round(estimate.work)
         self._held = facts.prompt_tokens + facts.output_tokens
         target.own.requests += 1
         target.own.unread_tokens += self._unread
--- a/jacinthfold/proxy/messages.py
+++ b/jacinthfold/proxy/messages.py
@@ -32,10 +32,22 @@
         self.tokens = tokens
 
 
+class ChainLink:
+    """Hold a prompt up to the end of one of its parts."""
+
+    __slots__ = ('name', 'tokens')
+
+    def __init__(self, name: str, tokens: int) -> None:
+        """Take the names of all parts so far and their tokens together."""
+        self.name = name
+        self.tokens = tokens
+
+
 class RequestFacts:
     """Hold what a request's headers say about it."""
 
     __slots__ = (
+        '_chain',
         'host_name',
         'last_event_id',
         'output_tokens',
@@ -54,8 +66,29 @@
         self.prompt_tokens = 0
         self.output_tokens = 0
         self.parts: tuple[PromptPart, ...] = ()
+        self._chain: tuple[ChainLink, ...] | None = None
         self.last_event_id = ''
 
+    @property
+    def chain(self) -> tuple[ChainLink, ...]:
+        """Return the prompt up to the end of each of its parts."""
+        # A part is kept only with all parts before it, so its name alone
+        # would promise too much.
+        if self._chain is None:
+            links = []
+            name, tokens = '', 0
+            for part in self.parts:
+                name = f'{name}/{part.name}'
+                tokens += part.tokens
+                links.append(ChainLink(name, tokens))
+            self._chain = tuple(links)
+        return self._chain
+
+    @property
+    def shared_chain(self) -> tuple[ChainLink, ...]:
+        """Return the same without the last part, which is the request's."""
+        return self.chain[:-1]
+
 
 class Request:
     """Hold a request that was read whole."""
--- a/tests/gateway/peak.py
+++ b/tests/gateway/peak.py
@@ -4,7 +4,7 @@
 from collections import OrderedDict
 
 from jacinthfold.placement.choice import SendTo
-from jacinthfold.placement.targets import Load
+from jacinthfold.placement.target import Load
 from jacinthfold.proxy.messages import PromptPart
 from tests.fakes import FakeClock
 
@@ -129,6 +129,9 @@
             for instance, load in scene.targets.own_loads().items():
                 loads[instance] = Load()
                 loads[instance].add(load)
+            read_tokens = scene.targets.own_read_tokens()
+            uses = scene.targets.recent_uses.by_life(now)
             for other in self.scenes:
                 if other is not scene:
                     other.targets.take_report(f'h{number}', loads, now)
+                    other.targets.take_uses(f'h{number}', read_tokens, uses)
