Try: subjects kept in one region of all that may serve them

Hypothesis: each region reads each subject anew; a quarter to a third of all prompt tokens are shared parts that some engine already keeps.

--- a/jacinthfold/placement/choice.py
+++ b/jacinthfold/placement/choice.py
@@ -7,6 +7,7 @@
 from jacinthfold.placement import limits
 from jacinthfold.placement.affinity import Affinity, in_order
 from jacinthfold.placement.estimates import Estimate, Estimator
+from jacinthfold.placement.keeping import KeeperRegions
 from jacinthfold.placement.pace import ColdPace
 from jacinthfold.placement.regions import RegionView, RemoteRegion
 from jacinthfold.placement.target import Target
@@ -78,6 +79,7 @@
         self._clock = clock
         self._random = source
         self._affinity = Affinity()
+        self._keepers = KeeperRegions(targets)
         self._estimator = Estimator(targets)
 
     def choose(
@@ -90,6 +92,9 @@
         best = self._best_here(request, tried)
         is_repeat = bool(tried or tried_regions)
         allowed = self._seconds_allowed(request, is_repeat=is_repeat)
+        keeping = None if is_repeat else self._keeping_elsewhere(request, best)
+        if keeping is not None:
+            return PassTo(keeping)
         if best is not None and best.seconds <= allowed:
             return SendTo(best)
         remote = self._best_elsewhere(request, tried_regions)
@@ -135,6 +140,28 @@
                 return estimate
         return min(estimates, key=self._cost)
 
+    def _keeping_elsewhere(
+        self, request: Request, best: Estimate | None
+    ) -> RemoteRegion | None:
+        """Return the region whose target keeps the shared parts, if any."""
+        shared = request.facts.shared_chain
+        if request.is_relayed or not shared:
+            return None
+        tokens = shared[-1].tokens
+        if tokens < limits.COPY_AT_LEAST_TOKENS:
+            return None
+        if best is not None and best.cached_tokens >= tokens:
+            return None
+        now = self._clock.monotonic()
+        keepers = self._keepers.regions(request, now)
+        if not keepers or keepers[0] == self._region:
+            return None
+        found = self._regions.at(keepers[0], request, tokens)
+        limit = request.route.aim_seconds * limits.KEEP_SHARE
+        if found is None or found.seconds > limit - (now - request.received_at):
+            return None
+        return found
+
     def _estimates(
         self, request: Request, usable: list[Target], now: float
     ) -> list[Estimate]:
--- a/jacinthfold/placement/regions.py
+++ b/jacinthfold/placement/regions.py
@@ -15,15 +15,21 @@
 class RemoteRegion:
     """Hold a region that could serve a request, and when."""
 
-    __slots__ = ('hosts', 'name', 'seconds')
+    __slots__ = ('hosts', 'kept_tokens', 'name', 'seconds')
 
     def __init__(
-        self, name: str, seconds: float, hosts: tuple[str, ...]
+        self,
+        name: str,
+        seconds: float,
+        hosts: tuple[str, ...],
+        kept_tokens: int = 0,
     ) -> None:
         """Take the expected time to the first event and the live hosts."""
         self.name = name
         self.seconds = seconds
         self.hosts = hosts
+        # What is believed to be kept there of the prompt.
+        self.kept_tokens = kept_tokens
 
 
 class RegionReport:
@@ -61,30 +67,33 @@
         if report.region != self._own_region:
             self._reports[host] = report
 
-    def note_passed(self, request: Request, region: str) -> None:
+    def note_passed(self, request: Request, region: RemoteRegion) -> None:
         """Take that a request was passed to a region."""
-        seconds = self._read_seconds(request)
+        seconds = self._read_seconds(request, region.kept_tokens)
         entry = (
             self._clock.monotonic() + ON_ITS_WAY_SECONDS,
-            region,
+            region.name,
             request.service_name,
             seconds,
         )
         self._on_its_way.append(entry)
 
+    def at(
+        self, region: str, request: Request, kept_tokens: int
+    ) -> RemoteRegion | None:
+        """Return a region that keeps a part of a prompt, and when it serves."""
+        hosts = self._heard().get(region)
+        if not hosts:
+            return None
+        return self._remote(request, region, hosts, kept_tokens)
+
     def best(
         self, request: Request, tried_regions: Collection[str]
     ) -> RemoteRegion | None:
         """Return the allowed region that serves soonest."""
-        now = self._clock.monotonic()
-        self._on_its_way = [one for one in self._on_its_way if one[0] > now]
-        by_region: dict[str, list[str]] = {}
-        for host, report in self._reports.items():
-            if now - report.heard_at < limits.REPORT_SECONDS:
-                by_region.setdefault(report.region, []).append(host)
         found = [
             self._remote(request, name, hosts)
-            for name, hosts in by_region.items()
+            for name, hosts in self._heard().items()
             if name not in tried_regions and request.route.allows(name)
         ]
         return min(
@@ -93,8 +102,22 @@
             default=None,
         )
 
+    def _heard(self) -> dict[str, list[str]]:
+        """Return hosts that reported lately, by region."""
+        now = self._clock.monotonic()
+        self._on_its_way = [one for one in self._on_its_way if one[0] > now]
+        by_region: dict[str, list[str]] = {}
+        for host, report in self._reports.items():
+            if now - report.heard_at < limits.REPORT_SECONDS:
+                by_region.setdefault(report.region, []).append(host)
+        return by_region
+
     def _remote(
-        self, request: Request, name: str, hosts: Iterable[str]
+        self,
+        request: Request,
+        name: str,
+        hosts: Iterable[str],
+        kept_tokens: int = 0,
     ) -> RemoteRegion | None:
         service = request.service_name
         serving = [
@@ -114,12 +137,14 @@
             if (region, kind) == (name, service)
         )
         seconds = sum(waits) / len(waits) + coming / max(1, count)
-        seconds += self._read_seconds(request) + limits.REGION_TRIP_SECONDS
-        return RemoteRegion(name, seconds, tuple(serving))
+        seconds += limits.REGION_TRIP_SECONDS
+        seconds += self._read_seconds(request, kept_tokens)
+        return RemoteRegion(name, seconds, tuple(serving), kept_tokens)
 
-    def _read_seconds(self, request: Request) -> float:
+    def _read_seconds(self, request: Request, kept_tokens: int) -> float:
         law = self.laws.of(request.service_name)
-        return law.first_event_seconds(law.work(request.facts.prompt_tokens, 0))
+        unread = max(0, request.facts.prompt_tokens - kept_tokens)
+        return law.first_event_seconds(law.work(unread, kept_tokens))
 
 
 def _seconds(region: RemoteRegion) -> float:
--- a/jacinthfold/proxy/attempts.py
+++ b/jacinthfold/proxy/attempts.py
@@ -112,7 +112,7 @@
         host = self._choose_host(region)
         if host is None:
             return Outcome(Ending.NOT_RUN, 'no_host_in_region')
-        self._regions.note_passed(request, region.name)
+        self._regions.note_passed(request, region)
         now = self._clock.monotonic()
         headers = self._dialect.target_headers(
             request,
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -296,7 +296,7 @@
         request = scene.request(tokens=8000)
         choice = scene.choose(request)
         if isinstance(choice, PassTo):
-            scene.regions.note_passed(request, 'south')
+            scene.regions.note_passed(request, choice.region)
             passed += 1
     assert 3 <= passed <= 10
 
