Try: large prompts without homes leave a region whose targets make them wait

Hypothesis: flexible work fills the places that bound work needs; placement looked elsewhere only when home was later than the aim. Change: a large prompt of a route without homes goes to the region that is expected sooner once home makes it wait 80 ms.

--- a/jacinthfold/placement/choice.py
+++ b/jacinthfold/placement/choice.py
@@ -95,9 +95,11 @@
         keeping = None if is_repeat else self._keeping_elsewhere(request, best)
         if keeping is not None:
             return PassTo(keeping)
+        remote = self._best_elsewhere(request, tried_regions)
         if best is not None and best.seconds <= allowed:
+            if self._leaves_room(request, best, remote) and remote is not None:
+                return PassTo(remote)
             return SendTo(best)
-        remote = self._best_elsewhere(request, tried_regions)
         if remote is not None and remote.seconds <= allowed:
             return PassTo(remote)
         return self._late_choice(request, best, remote)
@@ -140,6 +142,22 @@
                 return estimate
         return min(estimates, key=self._cost)
 
+    def _leaves_room(
+        self,
+        request: Request,
+        best: Estimate,
+        remote: RemoteRegion | None,
+    ) -> bool:
+        """Tell whether a request had better leave this region's targets."""
+        # Large prompts that any region may serve fill the targets that those
+        # bound to this one need, as long as they are in time here themselves.
+        if remote is None or request.route.home_regions:
+            return False
+        law = self._estimator.law(request.service_name)
+        is_large = law.reading_seconds(best.work) >= limits.LARGE_SECONDS
+        is_waiting = best.wait_seconds > limits.LEAVE_WAIT_SECONDS
+        return is_large and is_waiting and remote.seconds < best.seconds
+
     def _keeping_elsewhere(
         self, request: Request, best: Estimate | None
     ) -> RemoteRegion | None:
--- a/jacinthfold/placement/limits.py
+++ b/jacinthfold/placement/limits.py
@@ -62,3 +62,7 @@
 COPY_AT_LEAST_TOKENS = 2000
 # How far a target's slowness stretches its wait.
 SLOWNESS_COUNTED = 4.0
+# A prompt that takes this long to read, about as long as the trip, leaves a
+# region whose targets make it wait longer than the second figure.
+LARGE_SECONDS = 0.04
+LEAVE_WAIT_SECONDS = 0.08
