Try: the wait for a slot by how long slots are held

Hypothesis: a full engine counted as one second, however many wait there; that is a guess, and lets in three times what is served in time. Change: requests beyond the slots wait as long as slots come free, by the time that answers are learned to hold one.

--- a/jacinthfold/placement/estimates.py
+++ b/jacinthfold/placement/estimates.py
@@ -126,11 +126,9 @@
             others = load.unread_tokens - load.urgent_tokens
             ahead = load.urgent_tokens + others * limits.OTHERS_SHARE
         running_seconds = load.requests * limits.RUNNING_SECONDS
-        seconds = running_seconds + self.law(service.name).reading_seconds(
-            ahead
-        )
-        if load.requests >= slots:
-            seconds += limits.FULL_SECONDS
+        law = self.law(service.name)
+        seconds = running_seconds + law.reading_seconds(ahead)
+        seconds += law.slot_seconds(load.requests, slots)
         if load.held_tokens > service.memory_tokens * limits.MEMORY_SHARE:
             seconds += limits.FULL_SECONDS
         slowness = max(1.0, min(target.slowness, limits.SLOWNESS_COUNTED))
--- a/jacinthfold/placement/law.py
+++ b/jacinthfold/placement/law.py
@@ -33,6 +33,10 @@
 # An answer further off than this many deviations counts as that far: a prompt
 # that was believed to be kept and was not must not slow the law for all.
 DEVIATIONS_LIMIT = 2.0
+# How long an answer of some tens of tokens holds a slot, at the start.
+START_HOLD_SECONDS = 1.0
+HOLD_BOUNDS = (0.02, 60.0)
+HOLD_WEIGHT = 0.03
 # Each answer weighs this much less with the next one: a change of engines is
 # learned within some 200 answers.
 KEPT_SHARE = 0.995
@@ -60,6 +64,7 @@
     __slots__ = (
         '_heard',
         '_own',
+        'hold_seconds',
         'seconds',
         'seconds_per_pair',
         'seconds_per_token',
@@ -69,6 +74,8 @@
         """Begin with the start values."""
         self._own = [0.0 for _ in range(_SUMS)]
         self._heard: dict[str, tuple[float, Sequence[float]]] = {}
+        # How long a request holds a slot.
+        self.hold_seconds = START_HOLD_SECONDS
         self.seconds = START_SECONDS
         self.seconds_per_token = START_SECONDS_PER_TOKEN
         self.seconds_per_pair = START_SECONDS_PER_PAIR
@@ -109,6 +116,19 @@
         ]
         self._solve(now)
 
+    def note_hold(self, seconds: float) -> None:
+        """Learn from an answer how long a request holds a slot."""
+        bounded = _bounded(seconds, HOLD_BOUNDS)
+        self.hold_seconds += HOLD_WEIGHT * (bounded - self.hold_seconds)
+
+    def slot_seconds(self, requests: int, slots: int) -> float:
+        """Return how long a request waits for a slot behind others."""
+        # Slots come free at a rate of all of them in the time that one is
+        # held, so the wait grows with the queue. As a fixed time it let three
+        # times as many in as are served within the aim.
+        waiting = max(0, requests + 1 - slots)
+        return waiting * self.hold_seconds / slots
+
     def own_sums(self) -> list[float]:
         """Return the sums of this host's own answers, for others."""
         return self._own
--- a/jacinthfold/proxy/attempts.py
+++ b/jacinthfold/proxy/attempts.py
@@ -240,6 +240,7 @@
             target.note_success(seconds, estimate.seconds)
             if delivery.first_event_at:
                 self._learn_law(estimate, seconds, now)
+                self._learn_hold(estimate, now - first_at)
             else:
                 target.seconds_per_call += 0.1 * (
                     seconds - target.seconds_per_call
@@ -262,6 +263,10 @@
         )
         self._laws.of(target.record.service).note(answer, now)
 
+    def _learn_hold(self, estimate: Estimate, streamed_seconds: float) -> None:
+        law = self._laws.of(estimate.target.record.service)
+        law.note_hold(streamed_seconds + law.reading_seconds(estimate.work))
+
 
 class _Unread:
     """Count a request's load on a target while it is there."""
