--- a/jacinthfold/platform/dialect.py
+++ b/jacinthfold/platform/dialect.py
@@ -40,6 +40,8 @@
 REPLACED_HEADERS = SYSTEM_HEADERS | {DEADLINE.lower(), LAST_EVENT_ID.lower()}
 # Urgency 0 is first, 9 last; routes rank from 0.
 PRIORITY_LIMIT = 9
+# Ranks that a request loses which will be late in any case: behind all routes.
+LATE_RANKS = 5
 _MS = 1000
 
 
@@ -96,7 +98,10 @@
         if instance:
             headers.append((INSTANCE, instance.encode()))
         if request.route.is_stream:
-            rank = min(request.route.priority, PRIORITY_LIMIT)
+            rank = request.route.priority
+            if request.is_late:
+                rank += LATE_RANKS
+            rank = min(rank, PRIORITY_LIMIT)
             headers.append((PRIORITY, str(rank).encode()))
         return headers
 
