A host that knows no routes yet leads no caller to another region

While every host of both home regions is stopping, a host of the third starts, hears its neighbour before it has the configuration, and names it to callers whose homes it can't know.

Change: without routes only hosts of the caller's own region are named. The test fails on the code before.

--- a/jacinthfold/fleet/directory.py
+++ b/jacinthfold/fleet/directory.py
@@ -38,9 +38,12 @@
         return chosen[:ADDRESS_LIMIT]
 
     def _far(self, host_name: str) -> list[HostRecord]:
-        allowed = None
-        if self._catalogue.routes is not None:
-            allowed = self._catalogue.routes.homes_of(host_name)
+        # A host that has just started knows no routes, and so no homes: led
+        # by it to a region where theirs may not be served, callers would stay
+        # there for seconds. Another host, or this one in a moment, knows.
+        if self._catalogue.routes is None:
+            return []
+        allowed = self._catalogue.routes.homes_of(host_name)
         everywhere = sorted(self._hosts.regions())
         found = [
             host
--- /dev/null
+++ b/tests/gateway/test_directory.py
@@ -0,0 +1,61 @@
+"""Where callers are told to connect."""
+
+import json
+import random
+
+from jacinthfold.catalogue.host_codec import decode_host
+from jacinthfold.catalogue.model import HostRecord
+from jacinthfold.catalogue.records import Catalogue, Record
+from jacinthfold.fleet.directory import Directory
+from jacinthfold.fleet.table import HostState, HostTable
+from jacinthfold.platform.documents import PlatformReader
+from tests.fakes import FakeClock
+from tests.gateway.deployment import HOST_NAME, route
+
+
+def host(name, region):
+    return HostRecord(name, 1, (region, f'{region}-1'), '10.0.0.1', (1, 2, 3))
+
+
+def scene(routes):
+    """Return the directory of a western host that hears one other of west."""
+    clock = FakeClock()
+    hosts = HostTable(host('west-a', 'west'), clock)
+    hosts.note_heartbeat(host('west-b', 'west'), HostState.ACTIVE, 1)
+    known = Catalogue(PlatformReader(), decode_host, clock)
+    if routes:
+        document = {'version': 1, 'routes': routes, 'backends': []}
+        content = json.dumps(document).encode()
+        known.apply([Record('op/config', 1, content)], 1)
+    return Directory(hosts, known, random.Random(1)), hosts
+
+
+def names(found):
+    return {one.name for one in found}
+
+
+def test_host_that_knows_no_routes_leads_nobody_abroad():
+    """Every host of a home region is stopping; a western host starts.
+
+    It hears the others of its region before it has the configuration. A
+    caller whose route is bound to the north asks it, is led to the west, and
+    stays there for as long as the answer holds.
+    """
+    directory, _ = scene([])
+    assert not directory.resolve(HOST_NAME, 'north', 'north-1')
+    assert names(directory.resolve(HOST_NAME, 'west', 'west-1')) == {'west-b'}
+
+
+def test_bound_routes_are_led_to_a_home_or_nowhere():
+    bound = route('/a/', **{'allowed-regions': ['north', 'south']})
+    directory, hosts = scene([bound])
+    assert not directory.resolve(HOST_NAME, 'north', 'north-1')
+    hosts.note_heartbeat(host('south-a', 'south'), HostState.ACTIVE, 1)
+    found = directory.resolve(HOST_NAME, 'north', 'north-1')
+    assert names(found) == {'south-a'}
+
+
+def test_routes_without_homes_are_led_anywhere():
+    directory, _ = scene([route('/a/')])
+    found = directory.resolve(HOST_NAME, 'north', 'north-1')
+    assert names(found) == {'west-b'}
