--- a/jacinthfold/fleet/heartbeats.py
+++ b/jacinthfold/fleet/heartbeats.py
@@ -70,8 +70,6 @@
     read_tokens: dict[str, float] = {}
     # Names of long shared parts that were sent to them in the last moments.
     uses: dict[str, list[str]] = {}
-    # Unread tokens there that are read after all others.
-    late_tokens: dict[str, int] = {}
     # What this host's answers say of each service's engines; now and then.
     laws: dict[str, list[float]] = {}
 
@@ -219,7 +217,6 @@
         heartbeat = self._heartbeat()
         if is_near:
             heartbeat.loads = self._loads()
-            heartbeat.late_tokens = self._late_tokens()
             now = self._clock.monotonic()
             heartbeat.read_tokens = self._targets.own_read_tokens()
             heartbeat.uses = self._targets.recent_uses.by_life(now)
@@ -248,13 +245,6 @@
             for life, load in self._targets.own_loads().items()
         }
 
-    def _late_tokens(self) -> dict[str, int]:
-        return {
-            life: load.late_tokens
-            for life, load in self._targets.own_loads().items()
-            if load.late_tokens
-        }
-
     def _rooms(self) -> dict[str, RoomFigures]:
         if self._catalogue.routes is None:
             return {}
@@ -283,7 +273,7 @@
             self._regions.take(host.name, _report(host.region, heartbeat, now))
         if host.region == self._hosts.own.region:
             loads = {
-                life: Load(*figures, heartbeat.late_tokens.get(life, 0))
+                life: Load(*figures)
                 for life, figures in heartbeat.loads.items()
             }
             self._targets.take_report(host.name, loads, now)
--- a/jacinthfold/placement/choice.py
+++ b/jacinthfold/placement/choice.py
@@ -18,12 +18,11 @@
 class SendTo:
     """Say that a target here is to run the request."""
 
-    __slots__ = ('estimate', 'is_late')
+    __slots__ = ('estimate',)
 
-    def __init__(self, estimate: Estimate, *, is_late: bool = False) -> None:
-        """Take the estimate that decided, and whether it is after the aim."""
+    def __init__(self, estimate: Estimate) -> None:
+        """Take the estimate that decided."""
         self.estimate = estimate
-        self.is_late = is_late
 
 
 class PassTo:
@@ -120,7 +119,6 @@
         if target.cold_until > now:
             service = self._targets.service(target.record.service)
             self._pace.note_sent(target, service.cold_requests_per_second, now)
-        request.is_late = choice.is_late
         estimate = choice.estimate
         target.note_sent(request.facts.chain, estimate.unread_tokens)
         shared = request.facts.shared_chain
@@ -287,42 +285,10 @@
         least = min(waits)
         if self._is_worth_waiting(request, least):
             return self._nearest(best, remote)
-        late = self._behind_others(request, best, remote)
-        if late is not None:
-            return late
         half_aim = request.route.aim_seconds / 2
         after_seconds = self._return_seconds(least - half_aim)
         return Refuse('late', after_seconds, best, remote)
 
-    def _behind_others(
-        self,
-        request: Request,
-        best: Estimate | None,
-        remote: RemoteRegion | None,
-    ) -> Choice | None:
-        """Return where a request is served late, behind those in time."""
-        # Sent away, a prompt that is late by its own length comes back after
-        # its aim and is later still. Where those in time fill the targets by
-        # themselves it is sent away: behind them it would wait for nothing.
-        if not self._targets.service(request.service_name).is_engine:
-            return None
-        aim = request.route.aim_seconds
-        now = self._clock.monotonic()
-        most = aim * limits.LATE_AIMS - (now - request.received_at)
-        most_wait = aim * limits.LATE_WAIT_SHARE
-        found: list[tuple[float, Choice]] = []
-        if best is not None and best.wait_seconds < most_wait:
-            law = self._estimator.law(request.service_name)
-            late_tokens = best.target.load(now).late_tokens
-            seconds = best.seconds + law.reading_seconds(late_tokens)
-            found.append((seconds, SendTo(best, is_late=True)))
-        if remote is not None and remote.wait_seconds < most_wait:
-            found.append((remote.seconds, PassTo(remote)))
-        soonest = min(found, key=_first, default=None)
-        if soonest is None or soonest[0] > most:
-            return None
-        return soonest[1]
-
     def _is_worth_waiting(self, request: Request, seconds: float) -> bool:
         """Tell whether a request is served although it will be late."""
         aim = request.route.aim_seconds
@@ -351,7 +317,3 @@
     def _return_seconds(self, wait_seconds: float) -> float:
         spread = self._random.uniform(0, RETURN_SPREAD_SECONDS)
         return max(RETURN_AT_LEAST_SECONDS, wait_seconds) + spread
-
-
-def _first(pair: tuple[float, Choice]) -> float:
-    return pair[0]
--- a/jacinthfold/placement/estimates.py
+++ b/jacinthfold/placement/estimates.py
@@ -125,7 +125,6 @@
         if is_urgent:
             others = load.unread_tokens - load.urgent_tokens
             ahead = load.urgent_tokens + others * limits.OTHERS_SHARE
-        ahead += load.late_tokens * limits.OTHERS_SHARE
         running_seconds = load.requests * limits.RUNNING_SECONDS
         law = self.law(service.name)
         seconds = running_seconds + law.reading_seconds(ahead)
--- a/jacinthfold/placement/limits.py
+++ b/jacinthfold/placement/limits.py
@@ -68,8 +68,3 @@
 # region whose targets make it wait longer than the second figure.
 LARGE_SECONDS = 0.04
 LEAVE_WAIT_SECONDS = 0.08
-# A prompt that will be late is served behind the others while it need not wait
-# longer than this share of its aim for those in time, and its first event is
-# expected within so many aims: callers leave a stream after four.
-LATE_WAIT_SHARE = 0.75
-LATE_AIMS = 2.5
--- a/jacinthfold/placement/regions.py
+++ b/jacinthfold/placement/regions.py
@@ -15,7 +15,7 @@
 class RemoteRegion:
     """Hold a region that could serve a request, and when."""
 
-    __slots__ = ('hosts', 'kept_tokens', 'name', 'seconds', 'wait_seconds')
+    __slots__ = ('hosts', 'kept_tokens', 'name', 'seconds')
 
     def __init__(
         self,
@@ -23,7 +23,6 @@
         seconds: float,
         hosts: tuple[str, ...],
         kept_tokens: int = 0,
-        wait_seconds: float = 0.0,
     ) -> None:
         """Take the expected time to the first event and the live hosts."""
         self.name = name
@@ -31,8 +30,6 @@
         self.hosts = hosts
         # What is believed to be kept there of the prompt.
         self.kept_tokens = kept_tokens
-        # What it would wait there for others.
-        self.wait_seconds = wait_seconds
 
 
 class RegionReport:
@@ -138,12 +135,10 @@
             for _, region, kind, seconds in self._on_its_way
             if (region, kind) == (name, service)
         )
-        wait_seconds = sum(waits) / len(waits) + coming / max(1, count)
-        seconds = wait_seconds + limits.REGION_TRIP_SECONDS
+        seconds = sum(waits) / len(waits) + coming / max(1, count)
+        seconds += limits.REGION_TRIP_SECONDS
         seconds += self._read_seconds(request, kept_tokens)
-        return RemoteRegion(
-            name, seconds, tuple(serving), kept_tokens, wait_seconds
-        )
+        return RemoteRegion(name, seconds, tuple(serving), kept_tokens)
 
     def _busy_seconds(self, request: Request, kept_tokens: int) -> float:
         """Return how long a request holds up those behind it."""
--- a/jacinthfold/placement/target.py
+++ b/jacinthfold/placement/target.py
@@ -19,13 +19,7 @@
 class Load:
     """Hold requests, unread prompt tokens and memory in use."""
 
-    __slots__ = (
-        'held_tokens',
-        'late_tokens',
-        'requests',
-        'unread_tokens',
-        'urgent_tokens',
-    )
+    __slots__ = ('held_tokens', 'requests', 'unread_tokens', 'urgent_tokens')
 
     def __init__(
         self,
@@ -33,15 +27,12 @@
         unread_tokens: int = 0,
         held_tokens: int = 0,
         urgent_tokens: int = 0,
-        late_tokens: int = 0,
     ) -> None:
         """Take the figures; urgent tokens are a part of the unread ones."""
         self.requests = requests
         self.unread_tokens = unread_tokens
         self.held_tokens = held_tokens
         self.urgent_tokens = urgent_tokens
-        # Unread as well, but read after all others: not among those above.
-        self.late_tokens = late_tokens
 
     def add(self, other: 'Load') -> None:
         """Add another host's load."""
@@ -49,7 +40,6 @@
         self.unread_tokens += other.unread_tokens
         self.held_tokens += other.held_tokens
         self.urgent_tokens += other.urgent_tokens
-        self.late_tokens += other.late_tokens
 
 
 class Target:
--- a/jacinthfold/platform/dialect.py
+++ b/jacinthfold/platform/dialect.py
@@ -40,8 +40,6 @@
 REPLACED_HEADERS = SYSTEM_HEADERS | {DEADLINE.lower(), LAST_EVENT_ID.lower()}
 # Urgency 0 is first, 9 last; routes rank from 0.
 PRIORITY_LIMIT = 9
-# Ranks that a request loses which will be late in any case: behind all routes.
-LATE_RANKS = 5
 _MS = 1000
 
 
@@ -98,10 +96,7 @@
         if instance:
             headers.append((INSTANCE, instance.encode()))
         if request.route.is_stream:
-            rank = request.route.priority
-            if request.is_late:
-                rank += LATE_RANKS
-            rank = min(rank, PRIORITY_LIMIT)
+            rank = min(request.route.priority, PRIORITY_LIMIT)
             headers.append((PRIORITY, str(rank).encode()))
         return headers
 
--- a/jacinthfold/proxy/attempts.py
+++ b/jacinthfold/proxy/attempts.py
@@ -11,7 +11,7 @@
 from jacinthfold.placement.estimates import Estimate
 from jacinthfold.placement.law import Answer, Laws
 from jacinthfold.placement.regions import RegionView, RemoteRegion
-from jacinthfold.placement.target import Load, Target
+from jacinthfold.placement.target import Target
 from jacinthfold.proxy import relay_header
 from jacinthfold.proxy.caller_answer import CallerAnswer
 from jacinthfold.proxy.delivery import Delivery
@@ -273,34 +273,28 @@
 
     def __init__(self, estimate: Estimate, request: Request) -> None:
         facts = request.facts
-        unread = round(estimate.work)
-        is_urgent = request.route.is_urgent and not request.is_late
-        self._target = estimate.target
-        self._load = Load(
-            requests=1,
-            unread_tokens=0 if request.is_late else unread,
-            held_tokens=facts.prompt_tokens + facts.output_tokens,
-            urgent_tokens=unread if is_urgent else 0,
-            late_tokens=unread if request.is_late else 0,
-        )
-        self._target.own.add(self._load)
+        target = estimate.target
+        self._target = target
+        self._unread = round(estimate.work)
+        self._held = facts.prompt_tokens + facts.output_tokens
+        target.own.requests += 1
+        target.own.unread_tokens += self._unread
+        self._urgent = self._unread if request.route.is_urgent else 0
+        target.own.urgent_tokens += self._urgent
+        target.own.held_tokens += self._held
 
     def note_read(self) -> None:
         """Take that the prompt has been read."""
-        load = self._load
-        read = Load(
-            unread_tokens=-load.unread_tokens,
-            urgent_tokens=-load.urgent_tokens,
-            late_tokens=-load.late_tokens,
-        )
-        self._target.own.add(read)
-        load.add(read)
+        self._target.own.unread_tokens -= self._unread
+        self._target.own.urgent_tokens -= self._urgent
+        self._unread = 0
+        self._urgent = 0
 
     def release(self) -> None:
         """Take that the request has ended."""
         self.note_read()
-        load = self._load
-        self._target.own.add(Load(-load.requests, 0, -load.held_tokens))
+        self._target.own.requests -= 1
+        self._target.own.held_tokens -= self._held
 
 
 def _peer_outcome(head: AnswerHead) -> Outcome | None:
--- a/jacinthfold/proxy/forwarding.py
+++ b/jacinthfold/proxy/forwarding.py
@@ -180,7 +180,6 @@
                 cached_tokens=estimate.cached_tokens,
                 copied_from=estimate.keeper_name,
                 failing_share=estimate.target.failing_share,
-                late=choice.is_late,
             )
         if isinstance(choice, PassTo):
             logs.event(
--- a/jacinthfold/proxy/messages.py
+++ b/jacinthfold/proxy/messages.py
@@ -98,7 +98,6 @@
         'deadline',
         'facts',
         'headers',
-        'is_late',
         'is_relayed',
         'method',
         'path',
@@ -130,9 +129,6 @@
         # A request that another entry host passed on is served here or not
         # at all: passed on again, two full regions would play ball with it.
         self.is_relayed = False
-        # Its first event is expected after its aim: targets serve it behind
-        # those that can be in time.
-        self.is_late = False
 
 
 class AnswerFacts:
