--- a/jacinthfold/gateway/knowledge.py
+++ b/jacinthfold/gateway/knowledge.py
@@ -114,6 +114,7 @@
         self.targets.follow_services(table.services)
         latest = table.limits.idle_timeout_seconds
         self._idle_limits = [self._idle_limits[-1], latest]
+        self._become_ready()
 
     def on_target(self, record: TargetRecord) -> None:
         """Take a target that came or changed."""
