--- a/jacinthfold/placement/choice.py
+++ b/jacinthfold/placement/choice.py
@@ -6,6 +6,7 @@
 from jacinthfold.clock import Clock
 from jacinthfold.placement import limits
 from jacinthfold.placement.affinity import Affinity, in_order
+from jacinthfold.placement.decision import Choice, PassTo, Refuse, SendTo
 from jacinthfold.placement.estimates import Estimate, Estimator
 from jacinthfold.placement.keeping import KeeperRegions
 from jacinthfold.placement.pace import ColdPace
@@ -15,48 +16,6 @@
 from jacinthfold.placement.targets import TargetTable
 from jacinthfold.proxy.messages import Request
 
-
-class SendTo:
-    """Say that a target here is to run the request."""
-
-    __slots__ = ('estimate',)
-
-    def __init__(self, estimate: Estimate) -> None:
-        """Take the estimate that decided."""
-        self.estimate = estimate
-
-
-class PassTo:
-    """Say that another region is to run the request."""
-
-    __slots__ = ('region',)
-
-    def __init__(self, region: RemoteRegion) -> None:
-        """Take the region and what was believed of it."""
-        self.region = region
-
-
-class Refuse:
-    """Say that the request can't be served in time."""
-
-    __slots__ = ('after_seconds', 'elsewhere', 'here', 'reason')
-
-    def __init__(
-        self,
-        reason: str,
-        after_seconds: float,
-        here: Estimate | None = None,
-        elsewhere: RemoteRegion | None = None,
-    ) -> None:
-        """Take why, when a return may meet room, and what was expected."""
-        self.reason = reason
-        self.after_seconds = after_seconds
-        self.here = here
-        self.elsewhere = elsewhere
-
-
-Choice = SendTo | PassTo | Refuse
-
 # Returns are spread over this time, so that callers that were refused
 # together don't come back together.
 RETURN_SPREAD_SECONDS = 0.8
--- /dev/null
+++ b/jacinthfold/placement/decision.py
@@ -0,0 +1,46 @@
+"""Say what was decided for a request, and by which expectations."""
+
+from jacinthfold.placement.estimates import Estimate
+from jacinthfold.placement.regions import RemoteRegion
+
+
+class SendTo:
+    """Say that a target here is to run the request."""
+
+    __slots__ = ('estimate',)
+
+    def __init__(self, estimate: Estimate) -> None:
+        """Take the estimate that decided."""
+        self.estimate = estimate
+
+
+class PassTo:
+    """Say that another region is to run the request."""
+
+    __slots__ = ('region',)
+
+    def __init__(self, region: RemoteRegion) -> None:
+        """Take the region and what was believed of it."""
+        self.region = region
+
+
+class Refuse:
+    """Say that the request can't be served in time."""
+
+    __slots__ = ('after_seconds', 'elsewhere', 'here', 'reason')
+
+    def __init__(
+        self,
+        reason: str,
+        after_seconds: float,
+        here: Estimate | None = None,
+        elsewhere: RemoteRegion | None = None,
+    ) -> None:
+        """Take why, when a return may meet room, and what was expected."""
+        self.reason = reason
+        self.after_seconds = after_seconds
+        self.here = here
+        self.elsewhere = elsewhere
+
+
+Choice = SendTo | PassTo | Refuse
--- a/jacinthfold/proxy/forwarding.py
+++ b/jacinthfold/proxy/forwarding.py
@@ -7,7 +7,8 @@
 from jacinthfold.catalogue.model import Repetition
 from jacinthfold.clock import Clock
 from jacinthfold.placement.budget import RetryBudgets
-from jacinthfold.placement.choice import Choice, PassTo, Placer, Refuse, SendTo
+from jacinthfold.placement.choice import Placer
+from jacinthfold.placement.decision import Choice, PassTo, Refuse, SendTo
 from jacinthfold.proxy.attempts import Attempts
 from jacinthfold.proxy.caller_answer import CallerAnswer
 from jacinthfold.proxy.dialect import Dialect
--- a/jacinthfold/proxy/progress.py
+++ b/jacinthfold/proxy/progress.py
@@ -1,6 +1,6 @@
 """Hold what has happened to a request so far."""
 
-from jacinthfold.placement.choice import Choice, PassTo, Refuse, SendTo
+from jacinthfold.placement.decision import Choice, PassTo, Refuse, SendTo
 from jacinthfold.proxy.messages import Request
 from jacinthfold.proxy.outcome import Ending, Outcome
 
--- a/tests/gateway/peak.py
+++ b/tests/gateway/peak.py
@@ -3,7 +3,7 @@
 import random
 from collections import OrderedDict
 
-from jacinthfold.placement.choice import SendTo
+from jacinthfold.placement.decision import SendTo
 from jacinthfold.placement.target import Load
 from jacinthfold.proxy.messages import PromptPart
 from tests.fakes import FakeClock
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -9,7 +9,8 @@
 from jacinthfold.catalogue.model import Repetition, Route, Service, TargetRecord
 from jacinthfold.placement import limits
 from jacinthfold.placement.budget import RetryBudgets
-from jacinthfold.placement.choice import PassTo, Placer, Refuse, SendTo
+from jacinthfold.placement.choice import Placer
+from jacinthfold.placement.decision import PassTo, Refuse, SendTo
 from jacinthfold.placement.pace import ColdPace
 from jacinthfold.placement.regions import RegionReport, RegionView
 from jacinthfold.placement.target import Load
