--- a/jacinthfold/placement/law.py
+++ b/jacinthfold/placement/law.py
@@ -38,8 +38,8 @@
 HOLD_BOUNDS = (0.02, 60.0)
 HOLD_WEIGHT = 0.03
 # Each answer weighs this much less with the next one: a change of engines is
-# learned within some 200 answers.
-KEPT_SHARE = 0.995
+# learned within some 100 answers of each host.
+KEPT_SHARE = 0.99
 # Sums of another host count this long; they are told every two seconds.
 SUMS_SECONDS = 20.0
 _FIGURES = 3
