--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -25,7 +25,7 @@
 class Scene:
     """Hold one host's decisions and a clock that the test moves."""
 
-    def __init__(self, host='a', clock=None):
+    def __init__(self, host='a', clock=None, region='north'):
         self.clock = clock or FakeClock()
         self.targets = TargetTable(REGIONS, self.clock)
         engine = Service('model')
@@ -36,9 +36,9 @@
         engine.cold_requests_per_second = 3.3
         self.targets.follow_services({'model': engine, 'desk': Service('desk')})
         self.pace = ColdPace(host)
-        self.regions = RegionView('north', self.clock)
+        self.regions = RegionView(region, self.clock)
         self.placer = Placer(
-            'north',
+            region,
             self.targets,
             self.pace,
             self.regions,
@@ -54,9 +54,9 @@
         self.targets.put(record)
         return self.targets.find(instance)
 
-    def hear(self, wait_seconds, *, host='s', count=1):
+    def hear(self, wait_seconds, *, host='s', count=1, region='south'):
         report = RegionReport(
-            'south',
+            region,
             self.clock.monotonic(),
             {name: (wait_seconds, wait_seconds) for name in ('model', 'desk')},
             {'model': count, 'desk': count},
@@ -572,3 +572,53 @@
     assert isinstance(scene.choose(scene.request(tokens=400)), Refuse)
     scene.clock.advance(1.1)
     assert scene.instance(scene.request(tokens=400)) == 'i-1'
+
+
+def test_subjects_are_kept_in_one_region_of_all_that_may_serve_them():
+    """Two regions are asked for the same 40 subjects by a free route.
+
+    Read in both they cost twice the reading and the memory. Hosts of both
+    regions choose the same one without asking each other.
+    """
+    north, south = Scene('a'), Scene('b', region='south')
+    for number in range(3):
+        for scene in (north, south):
+            scene.add(f'n-{number}', data_centre='n-1')
+            scene.add(f's-{number}', data_centre='s-1')
+    north.hear(0.0, count=3)
+    south.hear(0.0, count=3, region='north')
+    stays = 0
+    for number in range(40):
+        asked = [prompt(scene, f'subject-{number}') for scene in (north, south)]
+        here = isinstance(north.choose(asked[0]), SendTo)
+        assert isinstance(south.choose(asked[1]), SendTo) is not here
+        stays += here
+    assert 8 < stays < 32
+
+
+def test_bound_subject_stays_at_home():
+    scene = Scene()
+    scene.add('n-0', data_centre='n-1')
+    scene.add('s-0', data_centre='s-1')
+    scene.hear(0.0)
+    for number in range(20):
+        request = prompt(scene, f'subject-{number}')
+        request.route.home_regions = frozenset({'north'})
+        assert isinstance(scene.choose(request), SendTo)
+
+
+def test_large_free_prompt_leaves_room_for_bound_work():
+    """Home has 0.25 s of reading, in time for all; the other region is idle.
+
+    Drafts that may go anywhere fill home, and questions that may not find no
+    place there soon after.
+    """
+    scene = Scene()
+    scene.add('i-1').own = Load(4, 15000, 15000)
+    scene.hear(0.0)
+    free = scene.request(tokens=12000)
+    assert isinstance(scene.choose(free), PassTo)
+    bound = scene.request(tokens=12000, home_regions=frozenset({'north'}))
+    assert isinstance(scene.choose(bound), SendTo)
+    small = scene.request(tokens=400)
+    assert isinstance(scene.choose(small), SendTo)
--- /dev/null
+++ b/tools/ablations/decisions.py
@@ -0,0 +1,178 @@
+"""Decisions of entry hosts that follow a metadata store."""
+
+from tools.ablations.model import Ablation
+
+GATEWAY = 'tests/gateway/'
+
+DECISIONS = [
+    Ablation(
+        'gateway: one host alone paces a cold target',
+        [
+            (
+                'placement/pace.py',
+                '        return rank(target.record.instance, self._hosts)[0] == self._own_name',
+                '        return True',
+            ),
+        ],
+        GATEWAY
+        + 'test_placement.py::test_cold_engine_gets_what_it_tolerates_over_all_hosts',
+    ),
+    Ablation(
+        'gateway: crashed targets draw no requests',
+        [
+            (
+                'placement/choice.py',
+                '            and target.unreachable_until <= now',
+                '',
+            ),
+        ],
+        GATEWAY
+        + 'test_placement.py::test_crashed_targets_don_t_draw_requests_from_other_regions',
+    ),
+    Ablation(
+        'gateway: a repeat is held to the deadline, not to the aim',
+        [
+            (
+                'placement/choice.py',
+                '        if is_repeat:',
+                '        if False:',
+            ),
+        ],
+        GATEWAY
+        + 'test_placement.py::test_cut_stream_is_placed_again_after_its_aim',
+    ),
+    Ablation(
+        'gateway: prompts with a shared part stay together',
+        [
+            (
+                'placement/limits.py',
+                'KEEPERS = 2',
+                'KEEPERS = 0',
+            ),
+        ],
+        GATEWAY + 'test_placement.py::test_peak_of_a_region_with_many_hosts',
+    ),
+    Ablation(
+        'gateway: a busy keeper is copied from',
+        [
+            (
+                'placement/limits.py',
+                'COPY_AT_LEAST_TOKENS = 2000',
+                'COPY_AT_LEAST_TOKENS = 10**9',
+            ),
+        ],
+        GATEWAY
+        + 'test_placement.py::test_busy_keeper_of_a_subject_is_copied_from',
+    ),
+    Ablation(
+        'gateway: few share a leading part',
+        [
+            (
+                'placement/affinity.py',
+                'share * targets < limits.LEADING_SHARE',
+                'share < 0',
+            ),
+        ],
+        GATEWAY
+        + 'test_placement.py::test_leading_part_that_few_share_keeps_prompts_together',
+    ),
+    Ablation(
+        'gateway: a target that starts again is known for nothing',
+        [
+            (
+                'placement/targets.py',
+                'target is None or _is_other_life(target, record)',
+                'target is None',
+            ),
+        ],
+        GATEWAY + 'test_rebirth.py',
+    ),
+    Ablation(
+        'gateway: reports name the life they speak of',
+        [
+            (
+                'placement/targets.py',
+                'load = loads.get(target.record.life)',
+                "load = loads.get(f'{target.record.instance}/1790000000000')",
+            ),
+        ],
+        GATEWAY + 'test_rebirth.py',
+    ),
+    Ablation(
+        'gateway: engines are learned from their answers',
+        [
+            (
+                'placement/law.py',
+                '        self._solve(now)\n\n    def note_hold',
+                '        self._own = list(terms)\n\n    def note_hold',
+            ),
+        ],
+        GATEWAY + 'test_law.py',
+    ),
+    Ablation(
+        'gateway: newer prompts push kept parts out',
+        [
+            (
+                'placement/kept.py',
+                'if used_at is None or used_at < oldest:',
+                'if used_at is None:',
+            ),
+        ],
+        GATEWAY + 'test_kept.py',
+    ),
+    Ablation(
+        'gateway: requests on their way count by their reading',
+        [
+            (
+                'placement/regions.py',
+                'return law.reading_seconds(self._work(request, kept_tokens))',
+                'return self._read_seconds(request, kept_tokens)',
+            ),
+        ],
+        GATEWAY + 'test_placement.py',
+    ),
+    Ablation(
+        'gateway: subjects are kept in one region',
+        [
+            (
+                'placement/choice.py',
+                '        if keeping is not None:\n',
+                '        if False:\n',
+            ),
+        ],
+        GATEWAY + 'test_placement.py',
+    ),
+    Ablation(
+        'gateway: large free prompts leave room',
+        [
+            (
+                'placement/choice.py',
+                'if self._leaves_room(request, best, remote)',
+                'if False',
+            ),
+        ],
+        GATEWAY + 'test_placement.py',
+    ),
+    Ablation(
+        'gateway: few places go to large prompts',
+        [
+            (
+                'placement/choice.py',
+                'if work is not None and not self._places.may_take(',
+                'if False and not self._places.may_take(',
+            ),
+        ],
+        GATEWAY + 'test_placement.py',
+    ),
+    Ablation(
+        'gateway: no directory answer without routes',
+        [
+            (
+                'fleet/directory.py',
+                'if self._catalogue.routes is None:\n            return []',
+                'if self._catalogue.routes is None:\n            return self._hosts.serving(self._hosts.own.region)',
+            ),
+        ],
+        GATEWAY + 'test_directory.py',
+    ),
+]
--- /dev/null
+++ b/tools/ablations/gateway.py
@@ -0,0 +1,225 @@
+"""Safeguards of entry hosts that follow a metadata store."""
+
+from tools.ablations.model import Ablation
+
+GATEWAY = 'tests/gateway/'
+
+GATEWAY_HOSTS = [
+    Ablation(
+        'gateway: a request that is out is not told not run',
+        [
+            (
+                'proxy/delivery.py',
+                '        self._progress.is_out = True',
+                '        self._progress.is_out = False',
+            ),
+        ],
+        GATEWAY
+        + 'test_requests.py::test_deadline_of_a_request_that_is_out_is_no_refusal',
+    ),
+    Ablation(
+        'gateway: a late answer of another request is passed over',
+        [
+            (
+                'proxy/exchange.py',
+                "while answer.facts.request_id not in {'', self._request_id}:",
+                'while False:',
+            ),
+        ],
+        GATEWAY
+        + 'test_requests.py::test_late_answer_of_another_request_is_passed_over',
+    ),
+    Ablation(
+        'gateway: a stream goes on behind the last whole event',
+        [
+            (
+                'proxy/delivery.py',
+                '            self._progress.last_event_id = splitter.last_event_id',
+                "            self._progress.last_event_id = ''",
+            ),
+        ],
+        GATEWAY + 'test_streams.py::test_cut_stream_goes_on_at_another_engine',
+    ),
+    Ablation(
+        'gateway: a version never falls back',
+        [
+            (
+                'catalogue/records.py',
+                '        if self.routes is not None and table.version <= self.routes.version:',
+                '        if False:',
+            ),
+        ],
+        GATEWAY
+        + 'test_translation.py::test_older_version_at_a_later_revision_is_ignored',
+    ),
+    Ablation(
+        'gateway: attempts elsewhere count like those at home',
+        [
+            (
+                'proxy/relay_header.py',
+                "        'max_attempts': 1,",
+                "        'max_attempts': route.max_attempts,",
+            ),
+        ],
+        GATEWAY
+        + 'test_knowledge.py::test_attempts_in_other_regions_count_like_those_at_home',
+    ),
+    Ablation(
+        'gateway: a leaving host refuses what it could not end',
+        [
+            (
+                'gateway/leaving.py',
+                '        return now + longest < self.ends_at',
+                '        return True',
+            ),
+        ],
+        GATEWAY
+        + 'test_life.py::test_leaving_host_refuses_what_it_could_not_end',
+    ),
+    Ablation(
+        'gateway: hosts take over from watchers that lose the store',
+        [
+            (
+                'fleet/table.py',
+                '            and entry.reaches_store',
+                '            and entry.record',
+            ),
+        ],
+        GATEWAY
+        + 'test_watchers.py::test_others_take_over_from_watchers_that_fail',
+    ),
+    Ablation(
+        'gateway: a host that took a list tells all, not only changes',
+        [
+            (
+                'catalogue/records.py',
+                'self._removals_since = max(self._removals_since, revision)',
+                'self._removals_since = self._removals_since',
+            ),
+        ],
+        GATEWAY + 'test_watchers.py::test_neighbour_that_took_a_list_tells_all',
+    ),
+    Ablation(
+        'gateway: hosts that do not watch ask who is ahead at once',
+        [
+            (
+                'fleet/snapshots.py',
+                'if is_due or self._catalogue.routes is None or not self.watches():',
+                'if False:',
+            ),
+        ],
+        GATEWAY
+        + 'test_watchers.py::test_change_reaches_hosts_that_don_t_watch',
+    ),
+    Ablation(
+        'gateway: signals are held while libraries load',
+        [
+            (
+                '__main__.py',
+                '        _hold_signals()',
+                '        pass',
+            ),
+        ],
+        GATEWAY + 'test_life.py::test_signal_during_start',
+    ),
+    Ablation(
+        'gateway: the soak finds an unrepeatable request that runs twice',
+        [
+            (
+                'proxy/forwarding.py',
+                'return request.route.repetition is not Repetition.NEVER',
+                'return True',
+            ),
+        ],
+        GATEWAY + 'test_soak.py::test_promises_hold_under_random_faults',
+    ),
+    Ablation(
+        'gateway: the soak finds a request that ran and was told not run',
+        [
+            (
+                'proxy/progress.py',
+                'return self.is_out or self.runs > 0',
+                'return False',
+            ),
+        ],
+        GATEWAY + 'test_soak.py::test_promises_hold_under_random_faults',
+    ),
+    Ablation(
+        'gateway: few hosts of another region hear a heartbeat',
+        [
+            (
+                'fleet/heartbeats.py',
+                'count = min(REMOTE_FANOUT, len(entries))',
+                'count = len(entries)',
+            ),
+        ],
+        GATEWAY
+        + 'test_watchers.py::test_few_hosts_of_another_region_hear_each_heartbeat',
+    ),
+    Ablation(
+        'gateway: a leaving host does not register again',
+        [
+            (
+                'catalogue/follower.py',
+                '        self._has_left = True',
+                '        self._has_left = False',
+            ),
+        ],
+        GATEWAY + 'test_life.py::test_leaving_host_does_not_register_again',
+    ),
+    Ablation(
+        'gateway: what another writer spoils is used no more',
+        [
+            (
+                'catalogue/records.py',
+                '                self._withdraw(record)\n',
+                '                logs.event(record.key)\n',
+            ),
+        ],
+        GATEWAY + 'test_other_writers.py',
+    ),
+    Ablation(
+        'gateway: entries are checked whole',
+        [
+            (
+                'platform/entries.py',
+                'if not least <= found <= most:',
+                'if False:',
+            ),
+        ],
+        GATEWAY + 'test_other_writers.py',
+    ),
+    Ablation(
+        'gateway: a duty that fails runs again',
+        [
+            (
+                'gateway/node.py',
+                '            await asyncio.sleep(DUTY_PAUSE_SECONDS)\n',
+                '            return\n',
+            ),
+        ],
+        GATEWAY + 'test_other_writers.py',
+    ),
+    Ablation(
+        'gateway: snapshots are packed',
+        [
+            (
+                'fleet/snapshots.py',
+                'zlib.compress(content, PACK_LEVEL)',
+                'content',
+            ),
+        ],
+        GATEWAY + 'test_watchers.py',
+    ),
+    Ablation(
+        'gateway: a busy engine keeps its request',
+        [
+            (
+                'proxy/patience.py',
+                'is_heard = now - self._last_heard() < silence_seconds',
+                'is_heard = False',
+            ),
+        ],
+        GATEWAY + 'test_streams.py',
+    ),
+]
