--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -74,9 +74,8 @@
     out = ROOT / 'bench' / 'out'
     out.mkdir(parents=True, exist_ok=True)
     (out / 'ablations.json').write_text(json.dumps(rows, indent=2))
-    print(
-        f'{len(rows) - len(survivors)} of {len(rows)} tests failed as they should'
-    )
+    failed = len(rows) - len(survivors)
+    print(f'{failed} of {len(rows)} tests failed as they should')
     return 1 if survivors else 0
 
 
