--- a/jacinthfold/placement/choice.py
+++ b/jacinthfold/placement/choice.py
@@ -10,7 +10,6 @@
 from jacinthfold.placement.estimates import Estimate, Estimator
 from jacinthfold.placement.keeping import KeeperRegions
 from jacinthfold.placement.pace import ColdPace
-from jacinthfold.placement.places import ScarcePlaces
 from jacinthfold.placement.regions import RegionView, RemoteRegion
 from jacinthfold.placement.target import Target
 from jacinthfold.placement.targets import TargetTable
@@ -48,7 +47,6 @@
         self._random = source
         self._affinity = Affinity()
         self._keepers = KeeperRegions(targets)
-        self._places = ScarcePlaces()
         self._estimator = Estimator(targets)
 
     def choose(
@@ -58,11 +56,6 @@
         tried_regions: Collection[str] = (),
     ) -> Choice:
         """Return where a request is to run."""
-        self._places.note(
-            request.service_name,
-            self._whole_work(request),
-            self._clock.monotonic(),
-        )
         best = self._best_here(request, tried)
         is_repeat = bool(tried or tried_regions)
         allowed = self._seconds_allowed(request, is_repeat=is_repeat)
@@ -107,9 +100,7 @@
         if not request.route.allows(self._region):
             return None
         now = self._clock.monotonic()
-        usable = self._usable(
-            request.service_name, tried, now, self._whole_work(request)
-        )
+        usable = self._usable(request.service_name, tried, now)
         if not usable:
             return None
         estimates = self._estimates(request, usable, now)
@@ -186,16 +177,8 @@
         slowness = max(1.0, estimate.target.slowness)
         return estimate.seconds * slowness < aim * limits.KEEP_SHARE - elapsed
 
-    def _whole_work(self, request: Request) -> float:
-        law = self._estimator.law(request.service_name)
-        return law.work(request.facts.prompt_tokens, 0)
-
     def _usable(
-        self,
-        service: str,
-        tried: Collection[str],
-        now: float,
-        work: float | None = None,
+        self, service: str, tried: Collection[str], now: float
     ) -> list[Target]:
         here = [
             target
@@ -205,7 +188,7 @@
             # Nothing listens there. As the seemingly idlest target it would
             # take request after request that another region could serve.
             and target.unreachable_until <= now
-            and self._has_place(target, now, work)
+            and self._is_warm_enough(target, now)
         ]
         staying = [one for one in here if one.last_resort_until is None]
         sound = [one for one in staying if one.ejected_until <= now]
@@ -217,18 +200,12 @@
             if one.last_resort_until is not None and one.last_resort_until > now
         ]
 
-    def _has_place(
-        self, target: Target, now: float, work: float | None
-    ) -> bool:
+    def _is_warm_enough(self, target: Target, now: float) -> bool:
         if target.cold_until <= now:
             return True
         service = self._targets.service(target.record.service)
         if service.cold_requests_per_second <= 0:
             return True
-        if work is not None and not self._places.may_take(
-            service.name, work, now
-        ):
-            return False
         return self._pace.allows(target, service.cold_requests_per_second, now)
 
     def _cost(self, estimate: Estimate) -> float:
@@ -279,7 +256,8 @@
         # A large prompt takes most of its aim by itself: however empty the
         # targets, it is late, and refusing it would starve it.
         law = self._estimator.law(request.service_name)
-        read_seconds = law.reading_seconds(self._whole_work(request))
+        work = law.work(request.facts.prompt_tokens, 0)
+        read_seconds = law.reading_seconds(work)
         is_large = read_seconds > aim / 2
         return is_large and seconds - read_seconds < aim / 2
 
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -539,41 +539,6 @@
     assert taken <= 100 / 100
 
 
-def test_few_places_of_a_cold_engine_go_to_large_prompts():
-    """A region's engine returns cold at a peak; another region is full.
-
-    It takes three requests a second, whatever their size. In the order of
-    arrival all of them are questions, and every draft is refused.
-    """
-    scene = Scene()
-    scene.add('i-1', cold_seconds=60.0)
-    scene.hear(5.0)
-    served = {400: 0, 17000: 0}
-    for number in range(400):
-        scene.clock.advance(0.01)
-        scene.hear(5.0)
-        tokens = 17000 if number % 20 == 19 else 400
-        request = scene.request(
-            tokens=tokens, priority=0 if tokens == 400 else 1
-        )
-        choice = scene.choose(request)
-        if isinstance(choice, SendTo):
-            scene.placer.note_sent(choice, request)
-            served[tokens] += 1
-    assert served[17000] >= 8
-    assert served[400] <= 2
-
-
-def test_small_prompts_have_the_places_when_no_large_one_comes():
-    scene = Scene()
-    scene.add('i-1', cold_seconds=60.0)
-    scene.choose(scene.request(tokens=400))
-    scene.choose(scene.request(tokens=17000))
-    assert isinstance(scene.choose(scene.request(tokens=400)), Refuse)
-    scene.clock.advance(1.1)
-    assert scene.instance(scene.request(tokens=400)) == 'i-1'
-
-
 def test_subjects_are_kept_in_one_region_of_all_that_may_serve_them():
     """Two regions are asked for the same 40 subjects by a free route.
 
--- a/tools/ablations/decisions.py
+++ b/tools/ablations/decisions.py
@@ -153,17 +153,6 @@
         ],
         GATEWAY + 'test_placement.py',
     ),
-    Ablation(
-        'gateway: few places go to large prompts',
-        [
-            (
-                'placement/choice.py',
-                'if work is not None and not self._places.may_take(',
-                'if False and not self._places.may_take(',
-            ),
-        ],
-        GATEWAY + 'test_placement.py',
-    ),
     Ablation(
         'gateway: no directory answer without routes',
         [
