Silence ends no answer that nobody else can bring

A draft that may be resumed is left for a pause of three gaps at its second and last target, and its answer is ended broken while the target is still at work. A target's silence is no reason to end an answer sooner. Ruled out: the configuration change beside it (a pause of the idle limit; no connection was closed for it).

Change: a silent target is left only while another attempt may follow, by the route's attempts and by the budget. The test fails without (seen).

--- a/jacinthfold/gateway/node.py
+++ b/jacinthfold/gateway/node.py
@@ -89,6 +89,7 @@
                 known.hosts,
                 known.regions,
                 known.targets.laws,
+                known.budgets,
                 dialect,
                 self.metrics,
                 self._clock,
--- a/jacinthfold/placement/budget.py
+++ b/jacinthfold/placement/budget.py
@@ -35,14 +35,18 @@
 
     def take(self, ratio: float, slack: float) -> bool:
         """Count a repeat if the window has room for it."""
+        if not self.has_room(ratio, slack):
+            return False
+        self._repeats.append(self._clock.monotonic())
+        return True
+
+    def has_room(self, ratio: float, slack: float) -> bool:
+        """Tell whether the window has room for a repeat."""
         now = self._clock.monotonic()
         _drop_before(self._requests, now - self._window_seconds)
         _drop_before(self._repeats, now - self._window_seconds)
         allowed = SHARE_KEPT * (ratio * len(self._requests) + slack)
-        if len(self._repeats) + 1 > allowed:
-            return False
-        self._repeats.append(now)
-        return True
+        return len(self._repeats) + 1 <= allowed
 
 
 class RetryBudgets:
@@ -74,8 +78,15 @@
 
     def take(self, service: str) -> bool:
         """Count a repeat if there is room for it."""
+        return self._of(service).take(self._ratio, self._own_slack())
+
+    def has_room(self, service: str) -> bool:
+        """Tell whether a repeat would be allowed now."""
+        return self._of(service).has_room(self._ratio, self._own_slack())
+
+    def _own_slack(self) -> float:
         hosts = max(HOSTS_AT_LEAST, self._host_count * HOSTS_GROWTH)
-        return self._of(service).take(self._ratio, self._slack / hosts)
+        return self._slack / hosts
 
     def _of(self, service: str) -> RetryBudget:
         if service not in self._budgets:
--- a/jacinthfold/proxy/attempts.py
+++ b/jacinthfold/proxy/attempts.py
@@ -8,6 +8,7 @@
 from jacinthfold.catalogue.model import HostRecord, Repetition
 from jacinthfold.clock import Clock
 from jacinthfold.fleet.table import HostTable
+from jacinthfold.placement.budget import RetryBudgets
 from jacinthfold.placement.estimates import Estimate
 from jacinthfold.placement.law import Answer, Laws
 from jacinthfold.placement.regions import RegionView, RemoteRegion
@@ -52,6 +53,7 @@
         hosts: HostTable,
         regions: RegionView,
         laws: Laws,
+        budgets: RetryBudgets,
         dialect: Dialect,
         metrics: ProxyMetrics,
         clock: Clock,
@@ -61,6 +63,7 @@
         self._hosts = hosts
         self._regions = regions
         self._laws = laws
+        self._budgets = budgets
         self._dialect = dialect
         self._metrics = metrics
         self._clock = clock
@@ -85,7 +88,7 @@
         if estimate.keeper is not None:
             place = estimate.keeper.record.address
             headers.extend(self._dialect.copy_headers(place))
-        patience = self._patience(request, lambda: target.heard_at)
+        patience = self._patience(request, progress, lambda: target.heard_at)
         delivery = Delivery(request, answer, progress, patience, self._clock)
         delivery.on_heard = partial(self._note_heard, target)
         began_at = self._clock.monotonic()
@@ -127,7 +130,7 @@
             )
         )
         patience = self._patience(
-            request, lambda: self._hosts.heard_at(host.name)
+            request, progress, lambda: self._hosts.heard_at(host.name)
         )
         delivery = Delivery(request, answer, progress, patience, self._clock)
         delivery.is_at_peer = True
@@ -148,16 +151,28 @@
         return self._random.choice(found) if found else None
 
     def _patience(
-        self, request: Request, last_heard: Callable[[], float]
+        self,
+        request: Request,
+        progress: Progress,
+        last_heard: Callable[[], float],
     ) -> Patience:
         aim = request.route.aim_seconds
         silence = max(SILENCE_AIMS * aim, SILENCE_AT_LEAST_SECONDS)
         hang = max(HANG_AIMS * aim, 2 * SILENCE_AT_LEAST_SECONDS)
         is_once = request.route.repetition is Repetition.NEVER
         return Patience(
-            None if is_once else silence, hang, last_heard, self._clock
+            None if is_once else silence,
+            hang,
+            last_heard,
+            lambda: self._may_leave(request, progress),
+            self._clock,
         )
 
+    def _may_leave(self, request: Request, progress: Progress) -> bool:
+        if progress.runs + 1 >= request.route.max_attempts:
+            return False
+        return self._budgets.has_room(request.service_name)
+
     def _note_heard(self, target: Target) -> None:
         target.heard_at = self._clock.monotonic()
 
--- a/jacinthfold/proxy/patience.py
+++ b/jacinthfold/proxy/patience.py
@@ -17,19 +17,27 @@
 class Patience:
     """Wait longer for those that are heard by others than for the silent."""
 
-    __slots__ = ('_clock', '_hang_seconds', '_last_heard', 'silence_seconds')
+    __slots__ = (
+        '_clock',
+        '_hang_seconds',
+        '_last_heard',
+        '_may_leave',
+        'silence_seconds',
+    )
 
     def __init__(
         self,
         silence_seconds: float | None,
         hang_seconds: float,
         last_heard: Callable[[], float],
+        may_leave: Callable[[], bool],
         clock: Clock,
     ) -> None:
-        """Take both limits, and who knows when the other end was heard."""
+        """Take both limits, and who knows the other end and other ways."""
         self.silence_seconds = silence_seconds
         self._hang_seconds = hang_seconds
         self._last_heard = last_heard
+        self._may_leave = may_leave
         self._clock = clock
 
     async def wait(
@@ -52,6 +60,10 @@
         return task.result()
 
     def _is_over(self, began_at: float, silence_seconds: float) -> bool:
+        # Without another attempt to follow the caller would only lose what the
+        # silent one may still bring.
+        if not self._may_leave():
+            return False
         # One that answers others is busy and not dead: its work on this
         # request is worth more than a new start elsewhere. Requests that a
         # failing target never answers end at the second limit.
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -158,6 +158,29 @@
     other.close()
 
 
+def test_silence_ends_no_answer_that_nobody_else_can_bring(engines):
+    """An engine pauses for 1.4 s in its answer; it is the last attempt.
+
+    Left for its silence, the answer ends broken though the rest was on its
+    way: the caller has lost a request that was served.
+    """
+    engines.put_routes(
+        route('/warm/', 'model', 'idempotent'),
+        route(
+            '/last/', 'model', 'stream', resumable=True, **{'max-attempts': 1}
+        ),
+    )
+    wait_until(
+        lambda: read(engines, '/last/0').status == 200, 'the route is in force'
+    )
+    for target in engines.targets.values():
+        target.executed.clear()
+        target.script = standin.stream(3, pause_seconds=1.4)
+    answer = read(engines, '/last/1', seconds=12)
+    assert answer.is_whole
+    assert answer.body == whole(1, 3)
+
+
 def test_stream_resumed_by_its_caller_goes_on(engines):
     answer = engines.ask(
         'north-a',
--- a/tools/ablations/gateway.py
+++ b/tools/ablations/gateway.py
@@ -222,4 +222,15 @@
         ],
         GATEWAY + 'test_streams.py',
     ),
+    Ablation(
+        'gateway: silence ends no answer that nobody else can bring',
+        [
+            (
+                'proxy/patience.py',
+                'if not self._may_leave():',
+                'if False:',
+            ),
+        ],
+        GATEWAY + 'test_streams.py',
+    ),
 ]
