Ports of tests are free on every address of the machine

Its log: address already in use on 127.0.1.1, ports 36749 and 41303, both held by a host of a test run that had been killed from outside 13 minutes before. Ports were reserved on 127.0.0.1 alone. Ruled out: the load of the machine (the host ended at once).

Change: reserved on all addresses; the test fails before.

--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -22,6 +22,7 @@
 START_TIMEOUT_SECONDS = 30
 STOP_TIMEOUT_SECONDS = 30
 PORT_KINDS = ('caller_port', 'control_port', 'peer_port', 'relay_port')
+ANY_ADDRESS = ''
 ADDRESS = '127.0.0.1'
 
 
@@ -54,7 +55,10 @@
         # get it between here and the process that will listen.
         held = socket.socket()
         held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        held.bind((ADDRESS, 0))
+        # On every address: entry hosts of a test listen on several. Free on
+        # one, a port may be taken on another by a host that outlived the test
+        # run that was killed around it, and ours ends as it starts.
+        held.bind((ANY_ADDRESS, 0))
         self._held.append(held)
         return held.getsockname()[1]
 
