--- a/jacinthfold/placement/law.py
+++ b/jacinthfold/placement/law.py
@@ -8,9 +8,9 @@
 The law: a constant, so much for each token that is read before the event, and
 so much for each pair of tokens that the own prompt compares, since long ones
 cost more than their length. It is fitted by least squares to this host's own
-answers and to the sums that hosts near it tell of theirs. Together with kept parts believed by what was sent: worth of a
-calm day 0.826 before and 0.879 after, of five loaded days 0.641 and 0.657
-(three to five seeds a day).
+answers and to the sums that hosts near it tell of theirs. Together with kept
+parts believed by what was sent: worth of a calm day 0.826 before and 0.879
+after, of five loaded days 0.641 and 0.657 (three to five seeds a day).
 """
 
 from collections.abc import Iterator, Mapping, Sequence
