--- a/jacinthfold/placement/choice.py
+++ b/jacinthfold/placement/choice.py
@@ -8,7 +8,6 @@
 from jacinthfold.placement.affinity import Affinity, in_order
 from jacinthfold.placement.decision import Choice, PassTo, Refuse, SendTo
 from jacinthfold.placement.estimates import Estimate, Estimator
-from jacinthfold.placement.herd import Herd
 from jacinthfold.placement.keeping import KeeperRegions
 from jacinthfold.placement.pace import ColdPace
 from jacinthfold.placement.regions import RegionView, RemoteRegion
@@ -49,7 +48,6 @@
         self._affinity = Affinity()
         self._keepers = KeeperRegions(targets)
         self._estimator = Estimator(targets)
-        self._herd = Herd()
 
     def choose(
         self,
@@ -77,7 +75,6 @@
         """Take that a request leaves for a target."""
         target = choice.estimate.target
         now = self._clock.monotonic()
-        self._herd.note_sent(request.service_name, now)
         if target.cold_until > now:
             service = self._targets.service(target.record.service)
             self._pace.note_sent(target, service.cold_requests_per_second, now)
@@ -116,8 +113,7 @@
             if place < limits.KEEPERS and self._is_kept(request, estimate, now):
                 return estimate
             estimates.append(estimate)
-        spread = self._spread_seconds(request, estimates, now)
-        return min(estimates, key=lambda one: self._cost(one, spread))
+        return min(estimates, key=self._cost)
 
     def _leaves_room(
         self,
@@ -216,26 +212,12 @@
             return True
         return self._pace.allows(target, service.cold_requests_per_second, now)
 
-    def _spread_seconds(
-        self, request: Request, estimates: list[Estimate], now: float
-    ) -> float:
-        name = request.service_name
-        some = estimates[0]
-        if self._targets.service(name).is_engine:
-            busy = self._estimator.law(name).reading_seconds(some.work)
-        else:
-            slots = max(1, some.target.record.slots)
-            busy = some.target.seconds_per_call / slots
-        return self._herd.spread_seconds(
-            name, busy / len(estimates), self._pace.host_count, now
-        )
-
-    def _cost(self, estimate: Estimate, spread_seconds: float) -> float:
+    def _cost(self, estimate: Estimate) -> float:
         target = estimate.target
         # A target that fails part of its requests is worth less than one
         # that is merely late: most failures can't be made good.
         risk = target.failing_share**2
-        jitter = self._random.uniform(0, spread_seconds)
+        jitter = self._random.uniform(0, 0.004)
         return estimate.seconds * max(1.0, target.slowness) + risk + jitter
 
     def _seconds_allowed(self, request: Request, *, is_repeat: bool) -> float:
