--- a/jacinthfold/fleet/heartbeats.py
+++ b/jacinthfold/fleet/heartbeats.py
@@ -53,6 +53,9 @@
 # What engines were learned to do and what they have read is told to the own
 # region every fifth beat: it changes over seconds.
 FULL_EVERY_BEATS = 5
+# Whether a region has collectors is looked at this often: it changes when many
+# hosts come or go.
+COLLECTED_CHECK_BEATS = 3
 # The second collector tells every third beat, to be known when the first is
 # gone.
 SECOND_EVERY_BEATS = 3
@@ -113,7 +116,8 @@
         if not self._hosts.others():
             self._ask_seeds()
             return
-        self._note_collected(is_collected=self._collectors.are_used())
+        if self._count % COLLECTED_CHECK_BEATS == 1:
+            self._note_collected(is_collected=self._collectors.are_used())
         self._tell_near()
         every = REMOTE_EVERY_BEATS
         if self._is_collected:
--- a/jacinthfold/fleet/table.py
+++ b/jacinthfold/fleet/table.py
@@ -139,8 +139,15 @@
         entry = self._entries.get(name)
         if entry is None or entry.record.incarnation != incarnation:
             return
-        is_silent = self._clock.monotonic() - heard_at >= SILENCE_SECONDS
-        if heard_at > entry.heard_at and not is_silent:
+        now = self._clock.monotonic()
+        if heard_at <= entry.heard_at or now - heard_at >= SILENCE_SECONDS:
+            return
+        is_live = now - entry.heard_at < SILENCE_SECONDS
+        if is_live and entry.status.state is status.state:
+            # Nearly always: 65 hosts are told of five times a second.
+            entry.status = status
+            entry.heard_at = heard_at
+        else:
             self._note(entry, status, heard_at)
 
     def others(self) -> list[HostEntry]:
--- a/jacinthfold/placement/choice.py
+++ b/jacinthfold/placement/choice.py
@@ -105,6 +105,15 @@
             return None
         ordered = self._ordered(request, usable)
         keepers = self._estimator.keepers(request, ordered)
+        shared = request.facts.shared_chain
+        if shared and shared[-1].tokens < limits.COPY_AT_LEAST_TOKENS:
+            few = [
+                self._estimator.estimate(request, target, now)
+                for target in ordered[: limits.FEW_TARGETS]
+            ]
+            soonest = min(few, key=self._cost)
+            if self._is_kept(request, soonest, now):
+                return soonest
         estimates = []
         for place, target in enumerate(ordered):
             estimate = self._estimator.copying(request, target, now, keepers)
