--- a/jacinthfold/fleet/heartbeats.py
+++ b/jacinthfold/fleet/heartbeats.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import random
-from collections.abc import Iterable
 from typing import Any, cast
 
 from jacinthfold import logs
@@ -15,11 +14,7 @@
 from jacinthfold.catalogue.records import Catalogue
 from jacinthfold.clock import Clock
 from jacinthfold.fleet.collectors import Collectors
-from jacinthfold.fleet.digest_message import (
-    Digest,
-    decode_digests,
-    encode_digests,
-)
+from jacinthfold.fleet.digest_exchange import DigestExchange, Place
 from jacinthfold.fleet.digests import DigestView
 from jacinthfold.fleet.gathering import Gathering
 from jacinthfold.fleet.heartbeat_content import HeartbeatContent, RoomSource
@@ -48,23 +43,16 @@
 # square of the hosts: of a region of 22 each hears 2.6 times a second and not
 # 18 (worked out).
 REMOTE_FANOUT = 3
-# Hosts of another data centre that hear a digest while nobody there is heard.
-UNHEARD_FANOUT = 3
 # What engines were learned to do and what they have read is told to the own
 # region every fifth beat: it changes over seconds.
 FULL_EVERY_BEATS = 5
 # Whether a region has collectors is looked at this often: it changes when many
 # hosts come or go.
 COLLECTED_CHECK_BEATS = 3
-# The second collector tells every third beat, to be known when the first is
-# gone.
-SECOND_EVERY_BEATS = 3
 DATAGRAM_LIMIT_BYTES = 60000
 # A dead host refuses every datagram; one line in this time is enough.
 UNSENT_TOLD_SECONDS = 5.0
 
-Place = tuple[str, int]
-
 
 class Heartbeats(asyncio.DatagramProtocol):
     """Exchange heartbeats by datagrams."""
@@ -89,6 +77,14 @@
         self._collectors = Collectors(hosts)
         self._gathering = Gathering(hosts.own)
         self._digests = DigestView(hosts, targets, clock)
+        self._exchange = DigestExchange(
+            hosts,
+            self._collectors,
+            self._gathering,
+            self._digests,
+            lambda content, place: self._send(content, place),
+            clock,
+        )
         self._transport: asyncio.DatagramTransport | None = None
         self._count = 0
         self._is_collected = False
@@ -139,7 +135,7 @@
         """Take a heartbeat or digests."""
         try:
             if content.startswith(DIGEST_MARK):
-                self._take_digests(content, addr)
+                self._exchange.take(content, addr[0])
             else:
                 self._take(decode(content))
         except ValueError as error:
@@ -187,7 +183,7 @@
             return
         names = self._collectors.of(self._hosts.own.data_centre)
         if self._hosts.own.name in names:
-            self._tell_digests(names.index(self._hosts.own.name))
+            self._exchange.tell(names.index(self._hosts.own.name))
         # Who is not told of by a collector is dropped by all after two
         # seconds: both may have died, or packets to them get lost.
         if self._digests.carries_own():
@@ -195,37 +191,6 @@
         else:
             self._tell(self._hosts.near(), content)
 
-    def _tell_digests(self, rank: int) -> None:
-        if rank and self._count % SECOND_EVERY_BEATS:
-            return
-        own = self._gathering.digest(self._clock.monotonic(), rank)
-        self._digests.take(own)
-        near = self._hosts.near()
-        home = self._hosts.own.data_centre
-        members = [one for one in near if one.record.data_centre == home]
-        told = encode_digests([own, *self._digests.others()])
-        self._send_all(members, told)
-        elsewhere = {one.record.data_centre for one in near} - {home}
-        for name in sorted(elsewhere):
-            there = [one for one in near if one.record.data_centre == name]
-            self._send_all(self._peers(name, there), encode_digests([own]))
-
-    def _peers(
-        self, data_centre: str, entries: list[HostEntry]
-    ) -> list[HostEntry]:
-        """Return who passes digests on in another data centre."""
-        names = self._collectors.of(data_centre)
-        if names:
-            return self._hosts.entries(names)
-        # After a cut nobody there is heard, and nobody would begin.
-        count = min(UNHEARD_FANOUT, len(entries))
-        return self._random.sample(entries, count)
-
-    def _send_all(self, entries: Iterable[HostEntry], content: bytes) -> None:
-        for entry in entries:
-            record = entry.record
-            self._send(content, (record.address, record.relay_port))
-
     def _some_remote(self) -> list[HostEntry]:
         by_region: dict[str, list[HostEntry]] = {}
         for entry in self._hosts.others():
@@ -268,28 +233,6 @@
         self._digests.own_loads.note(self._count, heartbeat.loads)
         return heartbeat
 
-    def _take_digests(self, content: bytes, addr: Any) -> None:
-        digests = decode_digests(content)
-        for digest in digests:
-            if digest.collector != self._hosts.own.name:
-                self._digests.take(digest)
-        self._pass_on(digests, content, addr)
-
-    def _pass_on(
-        self, digests: list[Digest], content: bytes, addr: Any
-    ) -> None:
-        """Give the digest of another data centre to those that tell of it."""
-        own = self._hosts.own
-        is_other = digests and digests[0].data_centre != own.data_centre
-        # Only from its maker: hosts that differ in who collects would pass it
-        # back and forth.
-        if not is_other or addr[0] != digests[0].address:
-            return
-        names = self._collectors.of(own.data_centre)
-        if own.name in names:
-            return
-        self._send_all(self._hosts.entries(names), content)
-
     def _take(self, heartbeat: Heartbeat) -> None:
         host = host_of(heartbeat.host)
         if host.name == self._hosts.own.name:
--- a/jacinthfold/placement/choice.py
+++ b/jacinthfold/placement/choice.py
@@ -105,15 +105,9 @@
             return None
         ordered = self._ordered(request, usable)
         keepers = self._estimator.keepers(request, ordered)
-        shared = request.facts.shared_chain
-        if shared and shared[-1].tokens < limits.COPY_AT_LEAST_TOKENS:
-            few = [
-                self._estimator.estimate(request, target, now)
-                for target in ordered[: limits.FEW_TARGETS]
-            ]
-            soonest = min(few, key=self._cost)
-            if self._is_kept(request, soonest, now):
-                return soonest
+        few = self._soonest_of_few(request, ordered, now)
+        if few is not None:
+            return few
         estimates = []
         for place, target in enumerate(ordered):
             estimate = self._estimator.copying(request, target, now, keepers)
@@ -124,6 +118,20 @@
             estimates.append(estimate)
         return min(estimates, key=self._cost)
 
+    def _soonest_of_few(
+        self, request: Request, ordered: list[Target], now: float
+    ) -> Estimate | None:
+        """Return where a prompt that shares little is served in time."""
+        shared = request.facts.shared_chain
+        if not shared or shared[-1].tokens >= limits.COPY_AT_LEAST_TOKENS:
+            return None
+        few = [
+            self._estimator.estimate(request, target, now)
+            for target in ordered[: limits.FEW_TARGETS]
+        ]
+        soonest = min(few, key=self._cost)
+        return soonest if self._is_kept(request, soonest, now) else None
+
     def _leaves_room(
         self,
         request: Request,
--- a/tools/ablations/fleet.py
+++ b/tools/ablations/fleet.py
@@ -54,7 +54,7 @@
         'collectors: data centres that hear nobody of each other begin anew',
         [
             (
-                'fleet/heartbeats.py',
+                'fleet/digest_exchange.py',
                 'count = min(UNHEARD_FANOUT, len(entries))',
                 'count = 0',
             ),
@@ -95,6 +95,17 @@
         ],
         CHOICE,
     ),
+    Ablation(
+        'gateway: prompts that share little take the soonest of few',
+        [
+            (
+                'placement/choice.py',
+                'if few is not None:',
+                'if False:',
+            ),
+        ],
+        CHOICE,
+    ),
     Ablation(
         'gateway: of keepers one of each kind is asked',
         [
