--- a/jacinthfold/placement/choice.py
+++ b/jacinthfold/placement/choice.py
@@ -8,6 +8,7 @@
 from jacinthfold.placement.affinity import Affinity, in_order
 from jacinthfold.placement.decision import Choice, PassTo, Refuse, SendTo
 from jacinthfold.placement.estimates import Estimate, Estimator
+from jacinthfold.placement.herd import Herd
 from jacinthfold.placement.keeping import KeeperRegions
 from jacinthfold.placement.pace import ColdPace
 from jacinthfold.placement.regions import RegionView, RemoteRegion
@@ -48,6 +49,7 @@
         self._affinity = Affinity()
         self._keepers = KeeperRegions(targets)
         self._estimator = Estimator(targets)
+        self._herd = Herd()
 
     def choose(
         self,
@@ -75,6 +77,7 @@
         """Take that a request leaves for a target."""
         target = choice.estimate.target
         now = self._clock.monotonic()
+        self._herd.note_sent(request.service_name, now)
         if target.cold_until > now:
             service = self._targets.service(target.record.service)
             self._pace.note_sent(target, service.cold_requests_per_second, now)
@@ -105,9 +108,6 @@
             return None
         ordered = self._ordered(request, usable)
         keepers = self._estimator.keepers(request, ordered)
-        few = self._soonest_of_few(request, ordered, now)
-        if few is not None:
-            return few
         estimates = []
         for place, target in enumerate(ordered):
             estimate = self._estimator.copying(request, target, now, keepers)
@@ -116,21 +116,8 @@
             if place < limits.KEEPERS and self._is_kept(request, estimate, now):
                 return estimate
             estimates.append(estimate)
-        return min(estimates, key=self._cost)
-
-    def _soonest_of_few(
-        self, request: Request, ordered: list[Target], now: float
-    ) -> Estimate | None:
-        """Return where a prompt that shares little is served in time."""
-        shared = request.facts.shared_chain
-        if not shared or shared[-1].tokens >= limits.COPY_AT_LEAST_TOKENS:
-            return None
-        few = [
-            self._estimator.estimate(request, target, now)
-            for target in ordered[: limits.FEW_TARGETS]
-        ]
-        soonest = min(few, key=self._cost)
-        return soonest if self._is_kept(request, soonest, now) else None
+        spread = self._spread_seconds(request, estimates, now)
+        return min(estimates, key=lambda one: self._cost(one, spread))
 
     def _leaves_room(
         self,
@@ -229,12 +216,26 @@
             return True
         return self._pace.allows(target, service.cold_requests_per_second, now)
 
-    def _cost(self, estimate: Estimate) -> float:
+    def _spread_seconds(
+        self, request: Request, estimates: list[Estimate], now: float
+    ) -> float:
+        name = request.service_name
+        some = estimates[0]
+        if self._targets.service(name).is_engine:
+            busy = self._estimator.law(name).reading_seconds(some.work)
+        else:
+            slots = max(1, some.target.record.slots)
+            busy = some.target.seconds_per_call / slots
+        return self._herd.spread_seconds(
+            name, busy / len(estimates), self._pace.host_count, now
+        )
+
+    def _cost(self, estimate: Estimate, spread_seconds: float) -> float:
         target = estimate.target
         # A target that fails part of its requests is worth less than one
         # that is merely late: most failures can't be made good.
         risk = target.failing_share**2
-        jitter = self._random.uniform(0, 0.004)
+        jitter = self._random.uniform(0, spread_seconds)
         return estimate.seconds * max(1.0, target.slowness) + risk + jitter
 
     def _seconds_allowed(self, request: Request, *, is_repeat: bool) -> float:
--- /dev/null
+++ b/jacinthfold/placement/herd.py
@@ -0,0 +1,69 @@
+"""Spread the choices of hosts that hear the same late news.
+
+Load pattern: 65 hosts send 175 calls a second to two targets of a plain
+service, each with six slots and a short queue. All hear at the same moment
+which one is the idler, and until the next digest all choose it: its queue fills
+and it turns calls away while the other one stands idle. What the neighbours
+send meanwhile is not known, but how much it is can be estimated, and a choice
+that is blurred by as much sends an equal share to targets whose difference
+means nothing.
+"""
+
+import math
+
+# How old the loads are that hosts go by: half a heartbeat, half a digest and
+# what is lost of either now and then.
+NEWS_SECONDS = 0.3
+# Over how long the own sends are averaged.
+RATE_SECONDS = 3.0
+# Estimates that are closer than this say nothing.
+LEAST_SPREAD_SECONDS = 0.004
+
+
+class _Rate:
+    """Hold a decaying count of sends."""
+
+    __slots__ = ('_at', '_weight')
+
+    def __init__(self, now: float) -> None:
+        self._at = now
+        self._weight = 0.0
+
+    def note(self, now: float) -> None:
+        self._weight = self._decayed(now) + 1
+        self._at = now
+
+    def per_second(self, now: float) -> float:
+        return self._decayed(now) / RATE_SECONDS
+
+    def _decayed(self, now: float) -> float:
+        elapsed = max(0.0, now - self._at)
+        return self._weight * math.exp(-elapsed / RATE_SECONDS)
+
+
+class Herd:
+    """Estimate what the hosts nearby send to the same targets unheard."""
+
+    __slots__ = ('_rates',)
+
+    def __init__(self) -> None:
+        """Start without any send."""
+        self._rates: dict[str, _Rate] = {}
+
+    def note_sent(self, service: str, now: float) -> None:
+        """Take that this host sent a request to a service's targets."""
+        self._rates.setdefault(service, _Rate(now)).note(now)
+
+    def spread_seconds(
+        self, service: str, busy_seconds: float, hosts: int, now: float
+    ) -> float:
+        """Return by how much waits may differ from what is believed.
+
+        Hosts of the region are taken to send as much as this one; the busy
+        time is that of one request at one of the targets, shared by them all.
+        """
+        rate = self._rates.get(service)
+        if rate is None:
+            return LEAST_SPREAD_SECONDS
+        unheard = rate.per_second(now) * (hosts - 1) * NEWS_SECONDS
+        return max(LEAST_SPREAD_SECONDS, unheard * busy_seconds)
--- a/jacinthfold/placement/limits.py
+++ b/jacinthfold/placement/limits.py
@@ -47,11 +47,6 @@
 KEEP_SHARE = 0.6
 # Targets in that order that are asked before the soonest of all is taken.
 KEEPERS = 2
-# Of targets in that order the soonest of so many takes a prompt that shares
-# little: reading the shared part again takes a few milliseconds, the wait at
-# one target that hashing names up to half the aim. Of few and not of all, since
-# all hosts would choose the same one until they hear again.
-FEW_TARGETS = 3
 # A target that failed a tenth of its latest requests keeps nothing: a cache
 # hit saves 60 ms, a failure costs the answer.
 KEEPER_FAILING_SHARE = 0.1
--- a/jacinthfold/placement/pace.py
+++ b/jacinthfold/placement/pace.py
@@ -24,6 +24,11 @@
         self._own_name = own_name
         self._hosts: tuple[str, ...] = (own_name,)
 
+    @property
+    def host_count(self) -> int:
+        """Return how many hosts the region has."""
+        return len(self._hosts)
+
     def follow_hosts(self, names: Iterable[str]) -> None:
         """Take the names of all hosts of the region, this one included."""
         self._hosts = tuple(sorted({self._own_name, *names}))
--- a/tools/ablations/fleet.py
+++ b/tools/ablations/fleet.py
@@ -95,17 +95,6 @@
         ],
         CHOICE,
     ),
-    Ablation(
-        'gateway: prompts that share little take the soonest of few',
-        [
-            (
-                'placement/choice.py',
-                'if few is not None:',
-                'if False:',
-            ),
-        ],
-        CHOICE,
-    ),
     Ablation(
         'gateway: of keepers one of each kind is asked',
         [
