--- a/jacinthfold/fleet/table.py
+++ b/jacinthfold/fleet/table.py
@@ -264,7 +264,11 @@
         self, entry: HostEntry, status: HostStatus, heard_at: float
     ) -> None:
         was_live = self._is_live(entry)
-        if entry.state is not status.state or not was_live:
+        # Of a large region far away each host is heard once in half a minute:
+        # told each time, it would be five lines a second that say nothing.
+        is_near = entry.record.region == self.own.region
+        is_back = is_near and not was_live
+        if entry.state is not status.state or is_back:
             logs.event(
                 'host_heard',
                 peer=entry.record.name,
