Sight: which requests were at a target when it ended

A request is known by its identifier alone, and each repeat has a new one: no line could tell whether one request ended many targets, or many requests were beside other faults. A host now sees that a target's process has ended (nothing listens where connections broke, or the record went without the target's leaving), and logs what was there, with a keyed fingerprint of method, host name, caller, path and body. The key is made once and kept in the store, so that all hosts' lines can be compared. Nothing is decided by it yet.

Also: a refused connection is told from one that nobody answers; outcomes that a head tells moved beside the outcomes.

--- a/jacinthfold/catalogue/metadata.py
+++ b/jacinthfold/catalogue/metadata.py
@@ -1,6 +1,6 @@
 """Say what the gateway needs of a metadata store."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Protocol
 
 from jacinthfold.catalogue.records import Record
@@ -14,6 +14,10 @@
     """Report that changes since a revision are no longer kept."""
 
 
+class MetadataConflictError(MetadataError):
+    """Report that something else stands where a record was to be made."""
+
+
 class LeaseLostError(MetadataError):
     """Report that a lease has ended."""
 
@@ -41,5 +45,13 @@
     async def write_host(self, name: str, content: bytes, lease: int) -> None:
         """Write an entry host's record, whatever stood there before."""
 
+    async def write_quarantine(
+        self, contents: Mapping[str, bytes], lease: int
+    ) -> None:
+        """Write records on requests under which targets ended."""
+
+    async def create_quarantine(self, name: str, content: bytes) -> None:
+        """Write such a record for good; raise MetadataConflictError."""
+
 
 Records = Iterable[Record]
--- a/jacinthfold/catalogue/records.py
+++ b/jacinthfold/catalogue/records.py
@@ -38,6 +38,7 @@
     TARGET = 'target'
     EVACUATION = 'evacuation'
     HOST = 'host'
+    QUARANTINE = 'quarantine'
     OTHER = 'other'
 
 
@@ -72,6 +73,9 @@
     def on_host(self, record: HostRecord | None, name: str) -> None:
         """Take an entry host's record, or that it is gone."""
 
+    def on_quarantine(self, name: str, content: bytes | None) -> None:
+        """Take a record on requests under which targets ended."""
+
 
 class Catalogue:
     """Hold records by key and tell a listener what changes."""
@@ -184,6 +188,7 @@
             Kind.TARGET: self._announce_target,
             Kind.EVACUATION: self._announce_evacuation,
             Kind.HOST: self._announce_host,
+            Kind.QUARANTINE: self._announce_quarantine,
         }
         if kind in announce:
             announce[kind](name, record)
@@ -236,6 +241,10 @@
         for listener in self._listeners:
             listener.on_host(host, name)
 
+    def _announce_quarantine(self, name: str, record: Record) -> None:
+        for listener in self._listeners:
+            listener.on_quarantine(name, record.content)
+
 
 def _by_revision(record: Record) -> int:
     return record.revision
--- a/jacinthfold/gateway/knowledge.py
+++ b/jacinthfold/gateway/knowledge.py
@@ -29,6 +29,7 @@
 from jacinthfold.placement.targets import TargetTable
 from jacinthfold.proxy.http_call import HttpCaller
 from jacinthfold.proxy.pool import Pool
+from jacinthfold.quarantine.quarantine import Quarantine
 
 HOUSEKEEPING_SECONDS = 0.1
 # Who paces cold targets and shares budgets is followed this often: walking
@@ -86,6 +87,10 @@
         self.budgets = RetryBudgets(
             retries.ratio, retries.slack, retries.window_seconds, clock
         )
+        self.quarantine = Quarantine(self.targets, adapter.store, clock)
+        self.quarantine.key_maker.may_make = lambda: (
+            self.catalogue.routes is not None and watchers.own_watches()
+        )
         self.use(settings)
 
     def use(self, settings: GatewaySettings) -> None:
@@ -136,6 +141,10 @@
         """Take an entry host's record, or that it is gone."""
         self.hosts.register(record, name)
 
+    def on_quarantine(self, name: str, content: bytes | None) -> None:
+        """Take a record on requests under which targets ended."""
+        self.quarantine.take_record(name, content)
+
     async def keep_house(self) -> None:
         """Become ready, and drop what is gone, until cancelled."""
         while True:
@@ -144,6 +153,7 @@
             self._follow_hosts_at_times()
             for target in self.targets.forget_gone():
                 self.pool.forget(target.place)
+                self.quarantine.witness.forget(target)
                 logs.event('target_gone', target=target.record.instance)
             self._tell_laws()
 
--- a/jacinthfold/gateway/node.py
+++ b/jacinthfold/gateway/node.py
@@ -88,10 +88,10 @@
                 known.pool,
                 known.hosts,
                 known.regions,
-                known.targets.laws,
                 known.budgets,
                 dialect,
                 self.metrics,
+                known.quarantine.witness,
                 self._clock,
             ),
             known.budgets,
@@ -146,6 +146,7 @@
             known.snapshots.run,
             known.pool.run,
             known.keep_house,
+            known.quarantine.key_maker.run,
             self._watch_settings,
         ):
             self._begin(supervised(duty))
--- a/jacinthfold/platform/dialect.py
+++ b/jacinthfold/platform/dialect.py
@@ -22,6 +22,7 @@
 PRIORITY = b'Request-Priority'
 COPY_FROM = b'Kv-Fetch'
 RETRY_AFTER = b'Retry-After'
+CREDENTIALS = b'Authorization'
 
 # Headers of a request that only this system may set: what a caller sends
 # under these names is dropped.
@@ -52,6 +53,7 @@
         facts = RequestFacts(
             _text(headers, REQUEST_ID), host.rsplit(':', 1)[0].lower()
         )
+        facts.caller = _text(headers, CREDENTIALS)
         deadline_ms = _text(headers, DEADLINE)
         if deadline_ms:
             facts.patience_seconds = float(deadline_ms) / _MS
--- a/jacinthfold/platform/documents.py
+++ b/jacinthfold/platform/documents.py
@@ -18,7 +18,8 @@
 EVACUATION_PREFIX = 'op/evacuate/'
 TARGET_PREFIX = 'servers/'
 HOST_PREFIX = 'hosts/'
-LISTED_PREFIXES = ('op/', TARGET_PREFIX, HOST_PREFIX)
+QUARANTINE_PREFIX = 'quarantine/'
+LISTED_PREFIXES = ('op/', TARGET_PREFIX, HOST_PREFIX, QUARANTINE_PREFIX)
 # What reading a document of other shapes than expected may raise.
 MALFORMED_ERRORS = (
     ValueError,
@@ -44,6 +45,7 @@
             (EVACUATION_PREFIX, Kind.EVACUATION),
             (TARGET_PREFIX, Kind.TARGET),
             (HOST_PREFIX, Kind.HOST),
+            (QUARANTINE_PREFIX, Kind.QUARANTINE),
         ):
             if key.startswith(prefix):
                 return kind, key.removeprefix(prefix)
--- a/jacinthfold/platform/store.py
+++ b/jacinthfold/platform/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+from collections.abc import Mapping
 from http import HTTPStatus
 from typing import Any
 from urllib.parse import urlencode
@@ -10,11 +11,16 @@
 from jacinthfold import logs
 from jacinthfold.catalogue.metadata import (
     LeaseLostError,
+    MetadataConflictError,
     MetadataError,
     MetadataHistoryLostError,
 )
 from jacinthfold.catalogue.records import Record
-from jacinthfold.platform.documents import HOST_PREFIX, LISTED_PREFIXES
+from jacinthfold.platform.documents import (
+    HOST_PREFIX,
+    LISTED_PREFIXES,
+    QUARANTINE_PREFIX,
+)
 from jacinthfold.proxy.errors import ProxyError
 from jacinthfold.proxy.http_call import CallAnswer, HttpCaller
 
@@ -77,14 +83,29 @@
 
     async def write_host(self, name: str, content: bytes, lease: int) -> None:
         """Write an entry host's record, whatever stood there before."""
-        put = {
-            'key': f'{HOST_PREFIX}{name}',
-            'value': base64.b64encode(content).decode(),
-            'lease': lease,
-        }
+        put = _put(f'{HOST_PREFIX}{name}', content, lease)
         body = {'expected-rev': [], 'puts': [put], 'remove': []}
         await self._call('POST', '/api/kv-txn', body)
 
+    async def write_quarantine(
+        self, contents: Mapping[str, bytes], lease: int
+    ) -> None:
+        """Write records on requests under which targets ended."""
+        puts = [
+            _put(f'{QUARANTINE_PREFIX}{name}', content, lease)
+            for name, content in contents.items()
+        ]
+        body = {'expected-rev': [], 'puts': puts, 'remove': []}
+        await self._call('POST', '/api/kv-txn', body)
+
+    async def create_quarantine(self, name: str, content: bytes) -> None:
+        """Write such a record for good; raise MetadataConflictError."""
+        key = f'{QUARANTINE_PREFIX}{name}'
+        expected = [{'key': key, 'revision': 0}]
+        puts = [_put(key, content, 0)]
+        body = {'expected-rev': expected, 'puts': puts, 'remove': []}
+        await self._call('POST', '/api/kv-txn', body)
+
     async def _list(self, prefix: str) -> tuple[list[Record], int]:
         records: list[Record] = []
         query: dict[str, Any] = {'prefix': prefix}
@@ -123,12 +144,19 @@
         return _document(answer, target)
 
 
+def _put(key: str, content: bytes, lease: int) -> dict[str, Any]:
+    encoded = base64.b64encode(content).decode()
+    return {'key': key, 'value': encoded, 'lease': lease}
+
+
 def _document(answer: CallAnswer, target: str) -> Any:
     call = target.partition('?')[0]
     if answer.status == HTTPStatus.GONE:
         raise MetadataHistoryLostError(call)
     if answer.status == HTTPStatus.NOT_FOUND:
         raise LeaseLostError(call)
+    if answer.status == HTTPStatus.PRECONDITION_FAILED:
+        raise MetadataConflictError(call)
     if answer.status != HTTPStatus.OK:
         raise MetadataError(f'{call}: status {answer.status}')
     try:
--- a/jacinthfold/proxy/attempts.py
+++ b/jacinthfold/proxy/attempts.py
@@ -3,14 +3,13 @@
 import random
 from collections.abc import Callable
 from functools import partial
-from http import HTTPStatus
 
 from jacinthfold.catalogue.model import HostRecord, Repetition
 from jacinthfold.clock import Clock
 from jacinthfold.fleet.table import HostTable
 from jacinthfold.placement.budget import RetryBudgets
 from jacinthfold.placement.estimates import Estimate
-from jacinthfold.placement.law import Answer, Laws
+from jacinthfold.placement.law import Answer
 from jacinthfold.placement.regions import RegionView, RemoteRegion
 from jacinthfold.placement.target import Target
 from jacinthfold.proxy import relay_header
@@ -19,17 +18,13 @@
 from jacinthfold.proxy.dialect import Dialect
 from jacinthfold.proxy.errors import ConnectFailedError, ProxyError
 from jacinthfold.proxy.exchange import Exchange
-from jacinthfold.proxy.messages import (
-    AnswerHead,
-    Headers,
-    Request,
-    first_header,
-)
+from jacinthfold.proxy.messages import Headers, Request
 from jacinthfold.proxy.metrics import ProxyMetrics
-from jacinthfold.proxy.outcome import Ending, Outcome
+from jacinthfold.proxy.outcome import Ending, Outcome, told_outcome
 from jacinthfold.proxy.patience import Patience
 from jacinthfold.proxy.pool import Place, Pool
 from jacinthfold.proxy.progress import Progress
+from jacinthfold.quarantine.witness import Attempt, Witness
 
 # Targets are in the same region, under 1 ms away: three lost packets' worth.
 CONNECT_SECONDS = 0.4
@@ -52,20 +47,20 @@
         pool: Pool,
         hosts: HostTable,
         regions: RegionView,
-        laws: Laws,
         budgets: RetryBudgets,
         dialect: Dialect,
         metrics: ProxyMetrics,
+        witness: Witness,
         clock: Clock,
     ) -> None:
         """Take the connections and the parts that learn from attempts."""
         self._pool = pool
         self._hosts = hosts
         self._regions = regions
-        self._laws = laws
         self._budgets = budgets
         self._dialect = dialect
         self._metrics = metrics
+        self._witness = witness
         self._clock = clock
         self._random = random.Random()
 
@@ -90,7 +85,8 @@
             headers.extend(self._dialect.copy_headers(place))
         patience = self._patience(request, progress, lambda: target.heard_at)
         delivery = Delivery(request, answer, progress, patience, self._clock)
-        delivery.on_heard = partial(self._note_heard, target)
+        attempt = self._witness.begin(request, target, delivery.withdraw)
+        delivery.on_heard = partial(self._note_heard, attempt)
         began_at = self._clock.monotonic()
         unread = _Unread(estimate, request)
         delivery.on_first_event = unread.note_read
@@ -100,6 +96,7 @@
             )
         finally:
             unread.release()
+            self._note_over(attempt, delivery)
         self._learn(target, outcome, delivery, began_at, estimate)
         self._count(request, outcome)
         return outcome
@@ -173,8 +170,13 @@
             return False
         return self._budgets.has_room(request.service_name)
 
-    def _note_heard(self, target: Target) -> None:
-        target.heard_at = self._clock.monotonic()
+    def _note_over(self, attempt: Attempt, delivery: Delivery) -> None:
+        attempt.has_events = delivery.first_event_at > 0
+        self._witness.note_over(attempt, is_broken=delivery.is_broken)
+
+    def _note_heard(self, attempt: Attempt) -> None:
+        attempt.is_begun = True
+        attempt.target.heard_at = self._clock.monotonic()
 
     async def _exchange(
         self,
@@ -192,6 +194,7 @@
         except ConnectFailedError as error:
             return Outcome(Ending.NOT_RUN, f'unreachable: {error}')
         exchange = Exchange(channel, self._dialect)
+        delivery.channel = channel
         try:
             return await self._carry(exchange, request, headers, delivery)
         except ProxyError as error:
@@ -219,8 +222,7 @@
             request.facts.request_id,
         )
         head = await delivery.head_of(exchange)
-        outcome = _peer_outcome(head) if delivery.is_at_peer else None
-        outcome = outcome or _turned_down(head)
+        outcome = told_outcome(head, is_peer=delivery.is_at_peer)
         if outcome is None:
             return await delivery.deliver(exchange, head)
         await exchange.whole(delivery.limit_bytes)
@@ -276,10 +278,10 @@
         answer = Answer(
             tokens, estimate.pairs, seconds - estimate.running_seconds
         )
-        self._laws.of(target.record.service).note(answer, now)
+        self._regions.laws.of(target.record.service).note(answer, now)
 
     def _learn_hold(self, estimate: Estimate, streamed_seconds: float) -> None:
-        law = self._laws.of(estimate.target.record.service)
+        law = self._regions.laws.of(estimate.target.record.service)
         law.note_hold(streamed_seconds + law.reading_seconds(estimate.work))
 
 
@@ -310,25 +312,3 @@
         self.note_read()
         self._target.own.requests -= 1
         self._target.own.held_tokens -= self._held
-
-
-def _peer_outcome(head: AnswerHead) -> Outcome | None:
-    told = first_header(head.headers, relay_header.ANSWER_HEADER)
-    if told == relay_header.TOLD_NOT_RUN:
-        after = first_header(head.headers, b'retry-after')
-        return Outcome(
-            Ending.NOT_RUN,
-            'region_refused',
-            after_seconds=float(after) if after else None,
-        )
-    if told == relay_header.TOLD_UNKNOWN:
-        return Outcome(Ending.UNKNOWN, 'region_failed')
-    return None
-
-
-def _turned_down(head: AnswerHead) -> Outcome | None:
-    if head.status == HTTPStatus.MISDIRECTED_REQUEST:
-        return Outcome(Ending.NOT_RUN, 'wrong_instance')
-    if head.facts.is_not_run:
-        return Outcome(Ending.NOT_RUN, f'target_refused_{head.status}')
-    return None
--- a/jacinthfold/proxy/channel.py
+++ b/jacinthfold/proxy/channel.py
@@ -145,7 +145,10 @@
             _, channel = await loop.create_connection(Channel, *address)
     except (OSError, TimeoutError) as error:
         place = f'{address[0]}:{address[1]}'
-        raise ConnectFailedError(f'{place}: {error!r}') from error
+        raise ConnectFailedError(
+            f'{place}: {error!r}',
+            is_refused=isinstance(error, ConnectionRefusedError),
+        ) from error
     return channel
 
 
--- a/jacinthfold/proxy/delivery.py
+++ b/jacinthfold/proxy/delivery.py
@@ -6,6 +6,7 @@
 from jacinthfold.catalogue.model import Repetition
 from jacinthfold.clock import Clock
 from jacinthfold.proxy.caller_answer import CallerAnswer
+from jacinthfold.proxy.channel import Channel
 from jacinthfold.proxy.errors import ProxyError
 from jacinthfold.proxy.events import EventSplitter
 from jacinthfold.proxy.exchange import Exchange
@@ -44,6 +45,10 @@
         # Only another entry host may tell how a request ended in our words; a
         # target that did could make an order that ran look not run.
         self.is_at_peer = False
+        # Whether the other side broke the connection before the answer's end.
+        self.is_broken = False
+        self.channel: Channel | None = None
+        self._is_withdrawn = False
         self.on_first_event: Callable[[], None] | None = None
         self.on_heard: Callable[[], None] = _nothing
 
@@ -51,6 +56,12 @@
         """Take that the request's first byte is about to leave."""
         self._progress.is_out = True
 
+    def withdraw(self) -> None:
+        """Take the request back from where it was sent."""
+        if self.channel is not None:
+            self._is_withdrawn = True
+            self.channel.abort()
+
     async def head_of(self, exchange: Exchange) -> AnswerHead:
         """Return the head of an answer; raise TimeoutError on silence."""
         head = await self._patience.wait(
@@ -77,6 +88,8 @@
 
     def broken(self, error: ProxyError) -> Outcome:
         """Return the outcome of an attempt whose answer did not end."""
+        is_gone = self.channel is not None and self.channel.is_gone
+        self.is_broken = is_gone and not self._is_withdrawn
         ending = Ending.CUT if self._answer.has_started else Ending.UNKNOWN
         return Outcome(ending, f'{type(error).__name__}: {error}')
 
--- a/jacinthfold/proxy/errors.py
+++ b/jacinthfold/proxy/errors.py
@@ -8,6 +8,11 @@
 class ConnectFailedError(ProxyError):
     """Report that no connection came about, so nothing was sent."""
 
+    def __init__(self, reason: str, *, is_refused: bool = False) -> None:
+        """Take why, and whether the machine said that nothing listens."""
+        super().__init__(reason)
+        self.is_refused = is_refused
+
 
 class ConnectionCutError(ProxyError):
     """Report that a connection ended before it was due."""
--- a/jacinthfold/proxy/messages.py
+++ b/jacinthfold/proxy/messages.py
@@ -48,6 +48,7 @@
 
     __slots__ = (
         '_chain',
+        'caller',
         'host_name',
         'last_event_id',
         'output_tokens',
@@ -61,6 +62,9 @@
         """Take the caller's identifier and the host name asked for."""
         self.request_id = request_id
         self.host_name = host_name
+        # What the caller proves to be by; empty where callers prove nothing
+        # and the host name alone says for whom they call.
+        self.caller = ''
         # How long the caller will wait; None when it does not say.
         self.patience_seconds: float | None = None
         self.prompt_tokens = 0
--- a/jacinthfold/proxy/outcome.py
+++ b/jacinthfold/proxy/outcome.py
@@ -1,8 +1,10 @@
 """Say how an attempt at a target ended."""
 
 from enum import Enum
+from http import HTTPStatus
 
-from jacinthfold.proxy.messages import AnswerHead
+from jacinthfold.proxy import relay_header
+from jacinthfold.proxy.messages import AnswerHead, first_header
 
 
 class Ending(Enum):
@@ -36,3 +38,31 @@
         self.body = body
         # When a peer that refused says that a return may meet room.
         self.after_seconds = after_seconds
+
+
+def told_outcome(head: AnswerHead, *, is_peer: bool) -> Outcome | None:
+    """Return the outcome that an answer's head alone tells, if it does."""
+    outcome = _peer_outcome(head) if is_peer else None
+    return outcome or _turned_down(head)
+
+
+def _peer_outcome(head: AnswerHead) -> Outcome | None:
+    told = first_header(head.headers, relay_header.ANSWER_HEADER)
+    if told == relay_header.TOLD_NOT_RUN:
+        after = first_header(head.headers, b'retry-after')
+        return Outcome(
+            Ending.NOT_RUN,
+            'region_refused',
+            after_seconds=float(after) if after else None,
+        )
+    if told == relay_header.TOLD_UNKNOWN:
+        return Outcome(Ending.UNKNOWN, 'region_failed')
+    return None
+
+
+def _turned_down(head: AnswerHead) -> Outcome | None:
+    if head.status == HTTPStatus.MISDIRECTED_REQUEST:
+        return Outcome(Ending.NOT_RUN, 'wrong_instance')
+    if head.facts.is_not_run:
+        return Outcome(Ending.NOT_RUN, f'target_refused_{head.status}')
+    return None
--- /dev/null
+++ b/jacinthfold/quarantine/fingerprints.py
@@ -0,0 +1,53 @@
+"""Tell requests apart by what they ask for, not by their identifiers."""
+
+import hashlib
+
+from jacinthfold.proxy.messages import Request
+
+# 16 bytes: of a thousand million requests two differ and look the same with a
+# chance of one in 10^20. Fewer bytes would let a caller search for a collision.
+FINGERPRINT_BYTES = 16
+KEY_BYTES = 32
+_LENGTH_BYTES = 8
+
+
+class Fingerprints:
+    """Make the fingerprints that all hosts of a deployment agree on."""
+
+    # Keyed: they stand in logs, in heartbeats and in the store, and without a
+    # key a short body could be found from one by trying.
+
+    __slots__ = ('_key',)
+
+    def __init__(self) -> None:
+        """Start without the key, which the store holds."""
+        self._key = b''
+
+    @property
+    def has_key(self) -> bool:
+        """Tell whether fingerprints can be made yet."""
+        return bool(self._key)
+
+    def use_key(self, key: bytes) -> None:
+        """Take the key that the deployment's hosts share."""
+        self._key = key
+
+    def of(self, request: Request) -> str:
+        """Return a request's fingerprint, nothing before the key is known."""
+        if not self._key:
+            return ''
+        # The caller belongs to it: nobody may have another one's request
+        # refused by sending the same body.
+        facts = request.facts
+        parts = (
+            request.method,
+            facts.host_name.encode(),
+            facts.caller.encode(),
+            request.target,
+            request.body,
+        )
+        made = hashlib.blake2b(digest_size=FINGERPRINT_BYTES, key=self._key)
+        for part in parts:
+            made.update(len(part).to_bytes(_LENGTH_BYTES))
+            made.update(part)
+        return made.hexdigest()
--- /dev/null
+++ b/jacinthfold/quarantine/witness.py
@@ -0,0 +1,306 @@
+"""See targets end, and which requests were there when they did.
+
+A connection that breaks says little: a link may have been reset, or one
+answer spoiled. A target has ended when nothing listens at its address any
+more, or when its record is gone though it was not leaving.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterable
+from enum import Enum, IntEnum
+
+from jacinthfold import logs
+from jacinthfold.clock import Clock
+from jacinthfold.placement.target import Target
+from jacinthfold.placement.targets import TargetTable
+from jacinthfold.proxy.channel import connect
+from jacinthfold.proxy.errors import ConnectFailedError
+from jacinthfold.proxy.messages import Request
+from jacinthfold.quarantine.fingerprints import Fingerprints
+
+# After the first broken connection: the others of the same end break within a
+# few milliseconds.
+GATHER_SECONDS = 0.05
+# A process that has ended refuses at once; one more look catches those whose
+# listening socket outlived the connections.
+LOOK_PAUSE_SECONDS = 0.5
+LOOK_CONNECT_SECONDS = 0.4
+# Records of ended targets lapse after three of their heartbeats, and are heard
+# of a second later.
+RECORD_SECONDS = 8.0
+# Targets of one data centre whose connections break this close to each other
+# lost a rack or a link; two that each run the same request may do so too.
+TOGETHER_SECONDS = 0.05
+# Sends to a cold target beyond its pace, in one second, that it may die of.
+OVERRUN_SHARE = 1.5
+SENDS_KEPT_SECONDS = 1.0
+LINES_PER_END = 16
+
+
+class Strength(IntEnum):
+    """Say how likely a request is what ended a target."""
+
+    # Nothing shows that the target had begun with it.
+    WAITING = 1
+    BEGUN = 2
+
+
+class Cause(Enum):
+    """Say of what a target ended, as far as this host can tell."""
+
+    UNKNOWN = 'unknown'
+    LEFT = 'left'
+    SEVERAL_TOGETHER = 'several_together'
+    COLD_OVERRUN = 'cold_overrun'
+
+
+class Attempt:
+    """Hold one request that is at a target."""
+
+    __slots__ = ('has_events', 'is_begun', 'request', 'target', 'withdraw')
+
+    def __init__(
+        self, request: Request, target: Target, withdraw: Callable[[], None]
+    ) -> None:
+        """Take the request, where it is and how to take it back."""
+        self.request = request
+        self.target = target
+        self.withdraw = withdraw
+        self.is_begun = False
+        self.has_events = False
+
+    @property
+    def strength(self) -> Strength:
+        """Return how likely this request is what ended the target."""
+        return Strength.BEGUN if self.is_begun else Strength.WAITING
+
+
+class Presence:
+    """Hold a request that was at a target when it ended."""
+
+    __slots__ = ('fingerprint', 'has_events', 'request_id', 'strength')
+
+    def __init__(self, attempt: Attempt, fingerprint: str) -> None:
+        """Take the attempt and what its request is known by."""
+        self.fingerprint = fingerprint
+        self.request_id = attempt.request.facts.request_id
+        self.strength = attempt.strength
+        self.has_events = attempt.has_events
+
+
+class TargetEnd:
+    """Hold one target's end as this host saw it."""
+
+    __slots__ = ('cause', 'life', 'present', 'service')
+
+    def __init__(
+        self, target: Target, cause: Cause, present: list[Presence]
+    ) -> None:
+        """Take which life ended, of what, and what was there."""
+        self.life = target.record.life
+        self.service = target.record.service
+        self.cause = cause
+        self.present = present
+
+
+class _Life:
+    """Hold what is at one life of a target, and how it broke."""
+
+    __slots__ = ('attempts', 'broke_at', 'broken', 'is_ended', 'sent_at')
+
+    def __init__(self) -> None:
+        self.attempts: list[Attempt] = []
+        self.sent_at: list[float] = []
+        self.broken: list[Attempt] = []
+        self.broke_at = 0.0
+        self.is_ended = False
+
+
+class Witness:
+    """Follow what is at targets and report their ends."""
+
+    def __init__(
+        self, targets: TargetTable, fingerprints: Fingerprints, clock: Clock
+    ) -> None:
+        """Take the targets and what requests are known by."""
+        self._targets = targets
+        self._fingerprints = fingerprints
+        self._clock = clock
+        self._lives: dict[str, _Life] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.on_end: Callable[[TargetEnd], None] = _hear_nothing
+        self.listens: Callable[[Target], Awaitable[bool | None]] = _listens
+
+    def begin(
+        self, request: Request, target: Target, withdraw: Callable[[], None]
+    ) -> Attempt:
+        """Take that a request leaves for a target."""
+        attempt = Attempt(request, target, withdraw)
+        now = self._clock.monotonic()
+        service = self._targets.service(target.record.service)
+        # Plain services say nothing until they answer, and take calls up as
+        # long as they have slots.
+        is_free = target.load(now).requests <= target.record.slots
+        attempt.is_begun = is_free and not service.is_engine
+        life = self._lives.setdefault(target.record.life, _Life())
+        life.attempts.append(attempt)
+        if target.cold_until > now:
+            limit = now - SENDS_KEPT_SECONDS
+            life.sent_at = [one for one in life.sent_at if one > limit]
+            life.sent_at.append(now)
+        return attempt
+
+    def note_over(self, attempt: Attempt, *, is_broken: bool) -> None:
+        """Take that an attempt has ended; broken by the other side or not."""
+        target = attempt.target
+        life = self._lives[target.record.life]
+        life.attempts.remove(attempt)
+        if is_broken:
+            self._note_broken(life, attempt)
+        elif not life.attempts and not life.broken and not life.sent_at:
+            self._lives.pop(target.record.life)
+
+    def attempts(self) -> list[Attempt]:
+        """Return all requests that are at targets."""
+        return [one for life in self._lives.values() for one in life.attempts]
+
+    def forget(self, target: Target) -> None:
+        """Drop a life that is gone."""
+        life = self._lives.get(target.record.life)
+        if life is not None and not life.attempts and not life.broken:
+            self._lives.pop(target.record.life)
+
+    def _note_broken(self, life: _Life, attempt: Attempt) -> None:
+        target = attempt.target
+        if life.is_ended:
+            # Noticed late: the others of this end were told already.
+            self._tell(target, [attempt], Cause.UNKNOWN)
+            return
+        life.broken.append(attempt)
+        if len(life.broken) > 1:
+            return
+        life.broke_at = self._clock.monotonic()
+        if target.last_resort_until is not None:
+            # It was leaving: its end is planned, and nobody's fault.
+            life.broken.clear()
+            return
+        task = asyncio.get_running_loop().create_task(
+            self._look(target, life), name=f'look {target.record.life}'
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._on_looked)
+
+    def _on_looked(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logs.error('look_failed', reason=repr(task.exception()))
+
+    async def _look(self, target: Target, life: _Life) -> None:
+        """Find out whether a target whose connections broke has ended."""
+        listens = await self._listens_after(target, GATHER_SECONDS)
+        if listens is not False:
+            listens = await self._listens_after(target, LOOK_PAUSE_SECONDS)
+        if listens is False:
+            self._note_ended(target, life)
+            return
+        # Nobody answers, neither yes nor no: its record will tell.
+        limit = life.broke_at + RECORD_SECONDS
+        while listens is None and self._clock.monotonic() < limit:
+            await asyncio.sleep(LOOK_CONNECT_SECONDS)
+            if target.is_removed:
+                self._note_ended(target, life)
+                return
+        life.broken.clear()
+
+    async def _listens_after(
+        self, target: Target, pause_seconds: float
+    ) -> bool | None:
+        await asyncio.sleep(pause_seconds)
+        return await self.listens(target)
+
+    def _note_ended(self, target: Target, life: _Life) -> None:
+        life.is_ended = True
+        cause, present = self._explain(target, life)
+        life.broken = []
+        self._tell(target, present, cause)
+
+    def _explain(
+        self, target: Target, life: _Life
+    ) -> tuple[Cause, list[Attempt]]:
+        """Return the cause, and the requests that may have been it."""
+        service = self._targets.service(target.record.service)
+        pace = service.cold_requests_per_second * OVERRUN_SHARE
+        since = life.broke_at - SENDS_KEPT_SECONDS
+        sends = sum(1 for one in life.sent_at if one > since)
+        if target.cold_until > life.broke_at and 0 < pace < sends:
+            return Cause.COLD_OVERRUN, []
+        together = self._broken_together(target, life)
+        if not together:
+            return Cause.UNKNOWN, life.broken
+        elsewhere = {
+            self._fingerprints.of(attempt.request) for attempt in together
+        }
+        common = [
+            attempt
+            for attempt in life.broken
+            if self._fingerprints.of(attempt.request) in elsewhere
+        ]
+        return Cause.SEVERAL_TOGETHER, common
+
+    def _broken_together(self, target: Target, life: _Life) -> list[Attempt]:
+        """Return what was at other targets that broke at the same moment."""
+        return [
+            attempt
+            for other in self._lives.values()
+            if other is not life
+            and abs(other.broke_at - life.broke_at) < TOGETHER_SECONDS
+            for attempt in other.broken
+            if attempt.target.record.data_centre == target.record.data_centre
+        ]
+
+    def _tell(
+        self, target: Target, attempts: Iterable[Attempt], cause: Cause
+    ) -> None:
+        present = [
+            Presence(attempt, self._fingerprints.of(attempt.request))
+            for attempt in attempts
+        ]
+        end = TargetEnd(target, cause, present)
+        logs.warning(
+            'target_ended',
+            target=target.record.instance,
+            life=end.life,
+            service=end.service,
+            cause=cause.value,
+            present=len(present),
+            begun=sum(one.strength is Strength.BEGUN for one in present),
+        )
+        likely = sorted(present, key=_likeliest_first)
+        for one in likely[:LINES_PER_END]:
+            logs.warning(
+                'request_at_end',
+                request=one.request_id,
+                fingerprint=one.fingerprint,
+                target=target.record.instance,
+                begun=one.strength is Strength.BEGUN,
+                events=one.has_events,
+            )
+        self.on_end(end)
+
+
+def _likeliest_first(one: Presence) -> tuple[int, bool]:
+    return -one.strength, one.has_events
+
+
+async def _listens(target: Target) -> bool | None:
+    """Tell whether something listens at a target, None if nobody says."""
+    try:
+        channel = await connect(target.record.address, LOOK_CONNECT_SECONDS)
+    except ConnectFailedError as error:
+        return False if error.is_refused else None
+    channel.close()
+    return True
+
+
+def _hear_nothing(_: TargetEnd) -> None:
+    """Hear of an end and do nothing."""
--- a/tests/gateway/http_server.py
+++ b/tests/gateway/http_server.py
@@ -72,6 +72,7 @@
         self.loop = None
         self._server = None
         self.connection_count = 0
+        self._writers = set()
 
     def start(self, loop):
         self.loop = loop
@@ -85,6 +86,12 @@
 
         self.loop.run(close())
 
+    def end(self):
+        """End as a killed process does; call it in the loop."""
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     def loop_call(self, function, *args):
         async def call():
             return function(*args)
@@ -105,6 +112,7 @@
 
     async def _serve(self, reader, writer):
         self.connection_count += 1
+        self._writers.add(writer)
         parser = h11.Connection(h11.SERVER)
         try:
             goes_on = True
@@ -117,6 +125,7 @@
         except (ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.transport.abort()
 
     async def _read(self, parser, reader):
--- a/tests/gateway/store_standin.py
+++ b/tests/gateway/store_standin.py
@@ -86,6 +86,10 @@
         return _json({'events': events, 'store-revision': self.revision})
 
     async def _kv_txn(self, _query, body):
+        for expected in body['expected-rev']:
+            known = self.items.get(expected['key'], {'revision': 0})
+            if known['revision'] != expected['revision']:
+                return Reply(412)
         for put in body['puts']:
             if put['lease'] and put['lease'] not in self.leases:
                 return Reply(404)
--- a/tests/gateway/test_translation.py
+++ b/tests/gateway/test_translation.py
@@ -47,6 +47,9 @@
     def on_host(self, record, name):
         self.heard.append(('host', name, record is not None))
 
+    def on_quarantine(self, name, content):
+        self.heard.append(('quarantine', name, content))
+
 
 def catalogue():
     made = Catalogue(PlatformReader(), decode_host, FakeClock())
