--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -168,8 +168,15 @@
     def put_target(
         self, instance, service_name, data_centre='north-1', **fields
     ):
+        document = self.target_document(
+            instance, service_name, data_centre, **fields
+        )
+        self.store.put(f'servers/{instance}', document)
+
+    def target_document(self, instance, service_name, data_centre, **fields):
+        """Return what a target writes of itself."""
         address, port = self.targets[instance].address
-        document = {
+        return {
             'backend': service_name,
             'address': f'{address}:{port}',
             'zone': data_centre,
@@ -180,7 +187,6 @@
             'seq': 1,
             **fields,
         }
-        self.store.put(f'servers/{instance}', document)
 
     def start_host(self, name, data_centre='north-1', **options):
         """Start an entry host and wait until it is ready."""
--- a/tests/gateway/http_server.py
+++ b/tests/gateway/http_server.py
@@ -76,9 +76,11 @@
 
     def start(self, loop):
         self.loop = loop
-        self._server = loop.run(
-            asyncio.start_server(self._serve, *self.address)
-        )
+        loop.run(self.open())
+
+    async def open(self):
+        """Listen; call it in the loop."""
+        self._server = await asyncio.start_server(self._serve, *self.address)
 
     def stop(self):
         async def close():
--- a/tests/gateway/store_standin.py
+++ b/tests/gateway/store_standin.py
@@ -25,8 +25,12 @@
 
     def put(self, key, document):
         """Write an item as the operator or a target does."""
+        self.loop_call(self.write_document, key, document)
+
+    def write_document(self, key, document):
+        """Write an item; call it in the loop."""
         content = base64.b64encode(json.dumps(document).encode()).decode()
-        self.loop_call(self._write, key, content, 0)
+        self._write(key, content, 0)
 
     def remove(self, key):
         self.loop_call(self._erase, key)
--- a/tests/gateway/target_standin.py
+++ b/tests/gateway/target_standin.py
@@ -126,16 +126,21 @@
     return f'id: {number}\ndata: piece {number}\n\n'.encode()
 
 
+def stream_head(request):
+    """Return the head of an answer that is a stream of events."""
+    lines = ['HTTP/1.1 200 OK', 'Content-Type: text/event-stream']
+    lines += [f'{name}: {content}' for name, content in echoed(request)]
+    lines.append('Transfer-Encoding: chunked')
+    return '\r\n'.join(lines).encode() + b'\r\n\r\n'
+
+
 def stream(total, *, cut_at=None, tail=b'', pause_seconds=0.0):
     """Return a script that sends events, and may end in the middle."""
 
     async def script(target, request, writer):
         target.executed.append(request)
         first = int(request.headers.get('last-event-id') or 0) + 1
-        lines = ['HTTP/1.1 200 OK', 'Content-Type: text/event-stream']
-        lines += [f'{name}: {content}' for name, content in echoed(request)]
-        lines.append('Transfer-Encoding: chunked')
-        writer.write('\r\n'.join(lines).encode() + b'\r\n\r\n')
+        writer.write(stream_head(request))
         for number in range(first, total + 1):
             if cut_at is not None and number > cut_at:
                 if tail:
