--- a/jacinthfold/quarantine/witness.py
+++ b/jacinthfold/quarantine/witness.py
@@ -42,11 +42,28 @@
     """Say of what a target ended, as far as this host can tell."""
 
     UNKNOWN = 'unknown'
-    LEFT = 'left'
     SEVERAL_TOGETHER = 'several_together'
     COLD_OVERRUN = 'cold_overrun'
 
 
+class _Life:
+    """Hold what is at one life of a target, and how it broke."""
+
+    __slots__ = ('attempts', 'broke_at', 'broken', 'cause', 'sent_at')
+
+    def __init__(self) -> None:
+        self.attempts: list['Attempt'] = []
+        self.sent_at: list[float] = []
+        self.broken: list['Attempt'] = []
+        self.broke_at = 0.0
+        # Of what it has ended, None while it has not.
+        self.cause: Cause | None = None
+
+    @property
+    def is_ended(self) -> bool:
+        return self.cause is not None
+
+
 class Attempt:
     """Hold one request that is at a target."""
 
@@ -54,17 +71,23 @@
         'begun_at',
         'first_event_at',
         'is_begun',
+        'life',
         'request',
         'target',
         'withdraw',
     )
 
     def __init__(
-        self, request: Request, target: Target, withdraw: Callable[[], None]
+        self,
+        request: Request,
+        target: Target,
+        life: _Life,
+        withdraw: Callable[[], None],
     ) -> None:
         """Take the request, where it is and how to take it back."""
         self.request = request
         self.target = target
+        self.life = life
         self.withdraw = withdraw
         self.is_begun = False
         # By the clock of this host, None before.
@@ -108,19 +131,6 @@
         self.present = present
 
 
-class _Life:
-    """Hold what is at one life of a target, and how it broke."""
-
-    __slots__ = ('attempts', 'broke_at', 'broken', 'is_ended', 'sent_at')
-
-    def __init__(self) -> None:
-        self.attempts: list[Attempt] = []
-        self.sent_at: list[float] = []
-        self.broken: list[Attempt] = []
-        self.broke_at = 0.0
-        self.is_ended = False
-
-
 class Witness:
     """Follow what is at targets and report their ends."""
 
@@ -141,14 +151,18 @@
         self, request: Request, target: Target, withdraw: Callable[[], None]
     ) -> Attempt:
         """Take that a request leaves for a target."""
-        attempt = Attempt(request, target, withdraw)
+        life = self._lives.setdefault(target.record.life, _Life())
+        if life.is_ended:
+            # It listens again under the same name, and another end may come.
+            life = _Life()
+            self._lives[target.record.life] = life
+        attempt = Attempt(request, target, life, withdraw)
         now = self._clock.monotonic()
         service = self._targets.service(target.record.service)
         # Plain services say nothing until they answer, and take calls up as
         # long as they have slots.
         is_free = target.load(now).requests <= target.record.slots
         attempt.is_begun = is_free and not service.is_engine
-        life = self._lives.setdefault(target.record.life, _Life())
         life.attempts.append(attempt)
         if target.cold_until > now:
             limit = now - SENDS_KEPT_SECONDS
@@ -159,13 +173,13 @@
     def note_over(self, attempt: Attempt, *, is_broken: bool) -> None:
         """Take that an attempt has ended; broken by the other side or not."""
         target = attempt.target
-        life = self._lives[target.record.life]
+        life = attempt.life
         life.attempts.remove(attempt)
         self._learn_head(attempt)
         if is_broken:
             self._note_broken(life, attempt)
         elif not life.attempts and not life.broken and not life.sent_at:
-            self._lives.pop(target.record.life)
+            self._drop(target, life)
 
     def attempts(self) -> list[Attempt]:
         """Return all requests that are at targets."""
@@ -174,7 +188,13 @@
     def forget(self, target: Target) -> None:
         """Drop a life that is gone."""
         life = self._lives.get(target.record.life)
-        if life is not None and not life.attempts and not life.broken:
+        if life is None or life.attempts:
+            return
+        if life.is_ended or not life.broken:
+            self._drop(target, life)
+
+    def _drop(self, target: Target, life: _Life) -> None:
+        if self._lives.get(target.record.life) is life:
             self._lives.pop(target.record.life)
 
     def _learn_head(self, attempt: Attempt) -> None:
@@ -191,7 +211,8 @@
         target = attempt.target
         if life.is_ended:
             # Noticed late: the others of this end were told already.
-            self._tell(target, [attempt], Cause.UNKNOWN)
+            if life.cause is Cause.UNKNOWN:
+                self._tell(target, [attempt], Cause.UNKNOWN)
             return
         life.broken.append(attempt)
         if len(life.broken) > 1:
@@ -236,9 +257,8 @@
         return await self.listens(target)
 
     def _note_ended(self, target: Target, life: _Life) -> None:
-        life.is_ended = True
         cause, present = self._explain(target, life)
-        life.broken = []
+        life.cause = cause
         self._tell(target, present, cause)
 
     def _explain(
--- a/tests/gateway/ending_targets.py
+++ b/tests/gateway/ending_targets.py
@@ -41,6 +41,9 @@
             if data_centre in {None, place}
         ]
 
+    def is_engine(self, instance):
+        return self.deployment.targets[instance].service == 'model'
+
     def end(self, instance):
         """End a life for a reason of its own."""
         target = self.deployment.targets[instance]
