Failing test: hosts run by intents go on sending what ends engines

The same cause elsewhere: a completion under which three engines ended is placed like a new one at each host of serve, up to three engines a request. Listed until the mend.

--- a/jacinthfold/standins/engine.py
+++ b/jacinthfold/standins/engine.py
@@ -10,6 +10,7 @@
 import heapq
 import itertools
 import json
+import os
 import threading
 import time
 
@@ -170,8 +171,12 @@
 
     def complete(self, request: Request) -> Response:
         """Answer a completion, streamed or whole."""
-        document = json.loads(request.get_data())
+        content = request.get_data()
+        document = json.loads(content)
         self.work['arrivals'] += 1
+        ends_on = self.faults.get('ends_on')
+        if ends_on and ends_on.encode() in content:
+            os._exit(1)
         refusal = self._refusal(document)
         if refusal:
             return refusal
