Hosts run by intents refuse what ended three engines

Callers of serve saw the same as those of the gateway: a completion under which engines end was tried at one engine after the other, at each host that the caller went to.

Cause: the same; the retry budget counts an organisation's retries, nothing what they did to engines.

Targets here keep their name over lives, so ends of one name within three seconds are one end. Checked before each attempt; a region that refuses says so and the first host passes that on. Not kept in the store here: hosts that are all replaced at once learn it anew.

Test: two parametrisations, failed before (no host refused), pass now.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -25,6 +25,7 @@
 from jacinthfold.limits import Limiter
 from jacinthfold.members import Heartbeat, Member, MemberState, MemberTable
 from jacinthfold.peers_pb2 import Exchange
+from jacinthfold.quarantine.guard import Guard
 from jacinthfold.routing import PrefixBeliefs, Prompt
 from jacinthfold.targets import TargetTable
 from jacinthfold.views import ReportState, TargetReport
@@ -168,7 +169,9 @@
         )
         for number in range(targets)
     ])  # fmt: skip
-    knowledge = Knowledge(table_, Configuration(clock), reports)
+    knowledge = Knowledge(
+        table_, Configuration(clock), reports, Guard('a secret', clock)
+    )
     peer = others[0]
     payload = knowledge.message(peer, 0).SerializeToString()
     sequence = iter(range(6, 10**6))
--- a/jacinthfold/exchange.py
+++ b/jacinthfold/exchange.py
@@ -3,6 +3,7 @@
 import json
 from collections.abc import Iterable
 
+from jacinthfold import logs
 from jacinthfold.configuration import Change, Configuration
 from jacinthfold.members import Heartbeat, Member, MemberState, MemberTable
 from jacinthfold.peers_pb2 import (
@@ -20,6 +21,7 @@
 from jacinthfold.peers_pb2 import (
     TargetReport as ReportMessage,
 )
+from jacinthfold.quarantine.guard import Guard
 from jacinthfold.targets import TargetTable
 from jacinthfold.views import TargetReport
 
@@ -35,11 +37,13 @@
         members: MemberTable,
         configuration: Configuration,
         targets: TargetTable,
+        guard: Guard,
     ) -> None:
-        """Take the three tables that peers share."""
+        """Take the tables that peers share."""
         self.members = members
         self.configuration = configuration
         self.targets = targets
+        self._guard = guard
         self._rounds = 0
 
     def message(
@@ -77,6 +81,7 @@
             changes=self._change_messages(peer_revision),
             unknown=self.members.unknown(),
             news_only=news_only,
+            suspects=self._guard.news(),
         )
 
     def take_in(self, message: Exchange) -> bool:
@@ -85,6 +90,10 @@
             map(_member, message.members), map(_heartbeat, message.heartbeats)
         )
         self.targets.merge(map(_report, message.targets))
+        try:
+            self._guard.take(message.suspects)
+        except ValueError as error:
+            logs.warning('suspects_unreadable', reason=str(error))
         complete = self.configuration.offer_changes(
             Change.from_document(json.loads(change.document))
             for change in message.changes
--- a/jacinthfold/inspection.py
+++ b/jacinthfold/inspection.py
@@ -71,6 +71,7 @@
             'refused': node.server.retries.refused_count,
         },
         'shed': node.admission.shed_counts,
+        'quarantined': node.guard.refused(),
         'peer_messages': {
             'sent': node.peers.sent_count,
             'received': node.peers.received_count,
--- a/jacinthfold/node.py
+++ b/jacinthfold/node.py
@@ -26,6 +26,7 @@
 from jacinthfold.orders import OrderKeeper, OrderLease
 from jacinthfold.peers import Knowledge, PeerLoop, Peers
 from jacinthfold.polling import HostListReader, Poller
+from jacinthfold.quarantine.guard import Guard
 from jacinthfold.relay import Relay
 from jacinthfold.relayed import RelayedApp
 from jacinthfold.revisions import Revisions
@@ -172,7 +173,10 @@
             target_client,
             settings,
         )
-        knowledge = Knowledge(self.members, self.configuration, self.targets)
+        self.guard = Guard(settings.peers.secret, self.clock)
+        knowledge = Knowledge(
+            self.members, self.configuration, self.targets, self.guard
+        )
         self._peer_loop = PeerLoop()
         self.peers = Peers(knowledge, settings, self._peer_loop)
 
@@ -195,6 +199,7 @@
             settings,
             clock,
             self.metrics,
+            self.guard,
         )
         incarnation = self.members.own.incarnation
         self.key_table = KeyTable(settings, clock)
@@ -253,6 +258,7 @@
         )
         self.configuration.subscribe(self._on_revision)
         self.targets.on_urgent = self.peers.hurry
+        self.guard.on_end = self.peers.hurry
         self.targets.on_room = self.admission.wake
         self._watch_gauges()
 
--- a/jacinthfold/quarantine/fingerprints.py
+++ b/jacinthfold/quarantine/fingerprints.py
@@ -36,18 +36,21 @@
 
     def of(self, request: Request) -> str:
         """Return a request's fingerprint, nothing before the key is known."""
-        if not self._key:
-            return ''
         # The caller belongs to it: nobody may have another one's request
         # refused by sending the same body.
         facts = request.facts
-        parts = (
+        return self.of_parts(
             request.method,
             facts.host_name.encode(),
             facts.caller.encode(),
             request.target,
             request.body,
         )
+
+    def of_parts(self, *parts: bytes) -> str:
+        """Return the fingerprint of what tells requests apart."""
+        if not self._key:
+            return ''
         made = hashlib.blake2b(digest_size=FINGERPRINT_BYTES, key=self._key)
         for part in parts:
             made.update(len(part).to_bytes(_LENGTH_BYTES))
--- a/jacinthfold/quarantine/suspects.py
+++ b/jacinthfold/quarantine/suspects.py
@@ -51,9 +51,12 @@
 class Suspects:
     """Keep suspects by fingerprint, as all hosts' words add up."""
 
-    def __init__(self, clock: Clock) -> None:
-        """Start with none."""
+    def __init__(
+        self, clock: Clock, news_seconds: float = NEWS_SECONDS
+    ) -> None:
+        """Take for how long changes are told; start with none."""
         self._clock = clock
+        self._news_seconds = news_seconds
         self._suspects: dict[str, Suspect] = {}
         # Those whose weight is enough, before other explanations.
         self._accused: set[str] = set()
@@ -117,7 +120,7 @@
 
         The own region hears near news from those that it concerns.
         """
-        limit = self._clock.monotonic() - NEWS_SECONDS
+        limit = self._clock.monotonic() - self._news_seconds
         told = {
             name
             for name, one in self._suspects.items()
--- a/jacinthfold/serving.py
+++ b/jacinthfold/serving.py
@@ -19,6 +19,7 @@
 from jacinthfold.config import Settings
 from jacinthfold.deployment import TargetInterface
 from jacinthfold.metrics import Metrics
+from jacinthfold.quarantine.guard import Guard
 from jacinthfold.relay import STREAM_TYPE, Attempt, Ending, Relay, Result
 from jacinthfold.retries import RetryBudget
 from jacinthfold.spill import Spill
@@ -28,6 +29,7 @@
 
 ATTEMPT_LIMIT = 3
 FULL_WORD = 'full'
+QUARANTINED = 'quarantined'
 END_EVENT = b'data: [DONE]\n\n'
 DOWN_STATES = frozenset((ReportState.UNREACHABLE, ReportState.STOPPED))
 STATE_WORDS: Mapping[str, ReportState] = {
@@ -48,6 +50,7 @@
         settings: Settings,
         clock: Clock,
         metrics: Metrics,
+        guard: Guard,
     ) -> None:
         """Take the parts that decide and the one that sends."""
         self._targets = targets
@@ -57,6 +60,7 @@
         self._settings = settings
         self._clock = clock
         self._metrics = metrics
+        self._guard = guard
         self.retries = RetryBudget(settings.routing.retry_ratio)
 
     def serve(
@@ -69,17 +73,37 @@
         self.retries.earn(work.organisation.name)
         run = _Run(work, sink, is_gone)
         while True:
+            # Each time: since the last attempt other hosts may have seen more
+            # targets end under the same request.
+            self._check_quarantine(run)
             work.stage = 'queued'
             result = self._try_elsewhere(run)
             # A peer that had no room after all has not run it. That is no
             # retry: the request takes its place in the home queue.
             if result is None or result.ending == Ending.NOT_RUN:
                 result = self._try_here(run)
+            if result.ending == Ending.WHOLE:
+                self._guard.note_served(work)
             if result.ending == Ending.WHOLE or _lacks_only_end(run, result):
                 return result
             self._check_retry(run, result)
             run.note(result)
 
+    def _check_quarantine(self, run: '_Run') -> None:
+        seconds = self._guard.refused_seconds(run.work)
+        if seconds is None:
+            return
+        if run.sink.has_started:
+            raise self._cut(run, Result())
+        raise CallerError(
+            HTTPStatus.TOO_MANY_REQUESTS,
+            'Targets ended under this request again and again; '
+            'it is refused for some time.',
+            QUARANTINED,
+            outcome='unknown' if run.was_unknown else 'not_run',
+            retry_after_seconds=seconds,
+        )
+
     def _try_elsewhere(self, run: '_Run') -> Result | None:
         work = run.work
         if work.hops or run.has_spilled or run.delivered_events:
@@ -105,6 +129,9 @@
         )
         if result.ending == Ending.UNKNOWN and result.headers.get('x-outcome'):
             self._pass_error_back(result)
+        if result.status == HTTPStatus.TOO_MANY_REQUESTS:
+            # Refused for what it did to targets: here as well.
+            self._pass_error_back(result)
         return result
 
     def _try_here(self, run: '_Run') -> Result:
@@ -144,7 +171,7 @@
             view,
             lambda: self._targets.expect_prefill(view, -fresh_bytes),
         )
-        self._learn(view, result)
+        self._learn(run.work, view, result)
         logs.event(
             'attempt_ended',
             request_id=run.work.request_id,
@@ -219,7 +246,7 @@
             timeout_seconds=0,
         )
 
-    def _learn(self, view: TargetView, result: Result) -> None:
+    def _learn(self, work: Work, view: TargetView, result: Result) -> None:
         if result.ending == Ending.WHOLE:
             seconds = result.first_byte_seconds
             if view.target.interface == TargetInterface.ENGINE:
@@ -229,6 +256,9 @@
             self._learn_refusal(view, result.reason)
         elif result.ending != Ending.CALLER_GONE:
             self._targets.note_failure(view)
+            if result.ending in {Ending.UNKNOWN, Ending.CUT}:
+                has_events = result.delivered_events > 0
+                self._guard.note_broken(work, view, has_events=has_events)
 
     def _learn_refusal(self, view: TargetView, reason: str) -> None:
         state = STATE_WORDS.get(reason)
--- a/tests/test_ended_targets.py
+++ b/tests/test_ended_targets.py
@@ -4,6 +4,13 @@
 
 import pytest
 
+from jacinthfold.deployment import Organisation, Target
+from jacinthfold.quarantine import guard as module
+from jacinthfold.quarantine.guard import Guard
+from jacinthfold.views import ReportState, TargetView
+from jacinthfold.work import Work
+from tests.fakes import FakeClock
+from tests.gateway.deployment import pause
 from tests.helpers import chat, small_fleet
 from tools.fleet import wait_until
 
@@ -12,6 +19,8 @@
 FATAL = 'a prompt under which engines end'
 # The promise: at most so many more sends, some seconds after the third end.
 MORE_SENDS = 3
+# What an engine takes at least to load its model again.
+LOADING_SECONDS = 3.2
 REPEATS = 6
 
 
@@ -21,10 +30,10 @@
     def __init__(self, fleet):
         self.fleet = fleet
         self.ended_count = 0
-        self.arm()
+        self.arm(ENGINES)
 
-    def arm(self):
-        for name in ENGINES:
+    def arm(self, names):
+        for name in names:
             self.fleet.set_faults(name, ends_on=FATAL)
 
     def look(self):
@@ -34,13 +43,14 @@
             for name in ENGINES
             if not self.fleet.processes[name].is_running
         ]
+        # One that ends meanwhile is found at the next look.
+        if ended:
+            pause(LOADING_SECONDS)
         for name in ended:
             self.fleet.processes[name].start()
         for name in ended:
             self.fleet.wait_listening(f'{self.fleet.targets[name]["url"]}/work')
-        if ended:
-            self.arm()
-            self.fleet.wait_targets_found()
+        self.arm(ended)
         self.ended_count += len(ended)
         return self.ended_count
 
@@ -52,6 +62,58 @@
         yield Supervised(fleet)
 
 
+def view_of(name):
+    target = Target(name, 'http://127.0.0.1:1', 'erie', 'erie-1', ('review',))
+    return TargetView(target, 0.0)
+
+
+def guard(clock):
+    return Guard('a secret of some length', clock)
+
+
+def work_of(organisation, body):
+    owner = Organisation(organisation, 'erie', ('erie',), ())
+    return Work(owner, 'review', 'POST', '/v1/completions', {}, body)
+
+
+def test_one_end_that_two_hosts_saw_counts_once(monkeypatch):
+    """Two copies were at an engine when it ended, through two hosts.
+
+    The engine's name tells no life from the next: ends of one name that are
+    closer together than an engine takes to load are one.
+    """
+    monkeypatch.setattr(module, '_listens', lambda url: False)
+    clock = FakeClock()
+    one, other = guard(clock), guard(clock)
+    work = work_of('free', b'body')
+    for name in ('review-1', 'review-2'):
+        for each in (one, other):
+            clock.advance(0.4)
+            each.note_broken(work, view_of(name), has_events=False)
+        clock.advance(4)
+    for each, words in ((one, other.news()), (other, one.news())):
+        each.take(words)
+        assert each.refused_seconds(work) is None
+    one.note_broken(work, view_of('review-1'), has_events=False)
+    assert one.refused_seconds(work) is not None
+    other.take(one.news())
+    assert other.refused_seconds(work) is not None
+    assert other.refused_seconds(work_of('bound', b'body')) is None
+    other.note_served(work)
+    assert other.refused_seconds(work) is None
+
+
+def test_leaving_target_has_not_been_ended(monkeypatch):
+    monkeypatch.setattr(module, '_listens', lambda url: False)
+    made = guard(FakeClock())
+    work = work_of('free', b'body')
+    for number in range(4):
+        view = view_of(f'review-{number}')
+        view.report.state = ReportState.LEAVING
+        made.note_broken(work, view, has_events=False)
+    assert made.news() == b''
+
+
 def send(fleet, host, text, **fields):
     messages = [{'role': 'user', 'content': text}]
     return chat(fleet, host, messages=messages, **fields)
@@ -64,7 +126,10 @@
     """A completion ended every engine that took it, and came again.
 
     Each host tried it at one engine after the other, and so did the next host
-    that the caller went to.
+    that the caller went to: nothing outlived the request but the failures
+    noted against the engines. `event=attempt_ended target=review-1
+    ending=unknown reason="Empty reply from server"`, 7 ms later the same at
+    review-2, and 0.4 s later both again through another host.
     """
     fleet = supervised.fleet
     turn = itertools.cycle(HOSTS)
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -21,6 +21,7 @@
 from jacinthfold.keys import InvalidKeyError, KeyIssuer
 from jacinthfold.members import Member, MemberTable
 from jacinthfold.peers_pb2 import Exchange
+from jacinthfold.quarantine.guard import Guard
 from jacinthfold.reading import completion_work
 from jacinthfold.targets import TargetTable
 from tests import fakes
@@ -136,6 +137,7 @@
         MemberTable(own, made, clock),
         Configuration(clock),
         TargetTable('erie', made, clock),
+        Guard('a secret', clock),
     )
     message = Exchange()
     try:
