Failing test: figures that no host can add up are taken

The same class elsewhere: one request that makes hosts fall. In a region of thirty hosts (tests.gateway.beating) a load of 10^30 held tokens raised OverflowError in the collectors' beats.

--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -321,3 +321,24 @@
     script(desk, standin.refuse, standin.refuse)
     refused = desk.ask('north-a', '/order/1', 'POST')
     assert 'jacinthfold-outcome' not in refused.headers
+
+
+def test_figures_that_no_host_can_add_up_are_refused(desk):
+    """A caller says that its prompt has 10^30 tokens, or less than none.
+
+    The figure becomes a part of its host's load. No digest can be written
+    with the large one: each collector that hears of it fails for as long as
+    the request runs, and its data centre goes unheard. The negative one makes
+    the target look idle, and every host sends there.
+    """
+    for name, content in (
+        ('Token-Usage', f'{10**30},1'),
+        ('Token-Usage', f'1,{10**30}'),
+        ('Token-Usage', '-1000000,1'),
+        ('Token-Usage', '1,-1000000'),
+        ('Prompt-Prefix', f'a:{10**30}'),
+        ('Prompt-Prefix', 'a:-5'),
+    ):
+        answer = desk.ask('north-a', '/order/x', headers=[(name, content)])
+        assert (content, answer.status) == (content, 400)
+    assert executions(desk) == []
