Refuse requests whose token figures no host can add up

Callers saw nothing of it yet; a region of 12 hosts and more would have: one request with a prompt of 10^30 tokens made each collector that heard of it fail in each beat (OverflowError: can't serialize ints > 2**64 - 1) for as long as it ran, and one with a negative figure made its target look idle to all hosts.

Cause: figures of callers were taken as they came and became part of the loads that hosts tell each other. They are bounded where they are decoded, once, so nothing behind that needs to know; the request is answered 400.

--- a/jacinthfold/platform/dialect.py
+++ b/jacinthfold/platform/dialect.py
@@ -41,6 +41,8 @@
 REPLACED_HEADERS = SYSTEM_HEADERS | {DEADLINE.lower(), LAST_EVENT_ID.lower()}
 # Urgency 0 is first, 9 last; routes rank from 0.
 PRIORITY_LIMIT = 9
+# Far above any prompt; a million of them still fit 64 bits.
+TOKENS_LIMIT = 1_000_000_000
 _MS = 1000
 
 
@@ -60,8 +62,8 @@
         tokens = _text(headers, TOKENS)
         if tokens:
             prompt, _, output = tokens.partition(',')
-            facts.prompt_tokens = int(prompt)
-            facts.output_tokens = int(output or 0)
+            facts.prompt_tokens = _tokens(prompt)
+            facts.output_tokens = _tokens(output)
         facts.parts = _parts(_text(headers, PROMPT_PARTS))
         facts.last_event_id = _text(headers, LAST_EVENT_ID)
         return facts
@@ -127,10 +129,19 @@
     for entry in content.split(','):
         name, _, tokens = entry.strip().partition(':')
         if name:
-            parts.append(PromptPart(name, int(tokens or 0)))
+            parts.append(PromptPart(name, _tokens(tokens)))
     return tuple(parts)
 
 
+def _tokens(content: str) -> int:
+    # Hosts add these up and tell each other the sums: a figure beyond 64 bits
+    # failed every collector that heard of it, a negative one drew all requests.
+    tokens = int(content or 0)
+    if not 0 <= tokens <= TOKENS_LIMIT:
+        raise ValueError(f'{content[:20]} tokens')
+    return tokens
+
+
 def _idle_seconds(headers: Headers) -> float | None:
     tokens = [
         token.strip().lower()
