--- a/jacinthfold/quarantine/store_writer.py
+++ b/jacinthfold/quarantine/store_writer.py
@@ -52,6 +52,11 @@
         self._lease = 0
         self._leased_at = float('-inf')
 
+    @property
+    def waiting_count(self) -> int:
+        """Return how many records wait to be written."""
+        return len(self._waiting)
+
     def put_word(self, word: SuspectWord) -> None:
         """Have a request's ends written, and when it was served."""
         if word.served_ms:
--- a/tests/gateway/soak.py
+++ b/tests/gateway/soak.py
@@ -86,6 +86,8 @@
         self.problems = []
         self.deployment = Deployment(directory)
         self.proxies = {}
+        self.routes = ROUTES
+        self.services = ('desk', 'model')
         self._is_over = threading.Event()
         self._threads = []
         self._heals = []
@@ -110,7 +112,7 @@
         made = self.deployment
         self.proxies['store'] = Proxy(*made.store.address)
         made.store_address = (LOOPBACK, self.proxies['store'].port)
-        made.put_routes(*ROUTES)
+        made.put_routes(*self.routes, services=self.services)
         for name, (service, data_centre) in TARGETS.items():
             target = made.add_target(name, service, data_centre)
             target.script = self._script(service)
@@ -249,7 +251,7 @@
             route(f'/extra-{number}/')
             for number in range(self.faults['routes'])
         ]
-        self.deployment.put_routes(*ROUTES, *extra)
+        self.deployment.put_routes(*self.routes, *extra, services=self.services)
 
     def _drain_target(self, seconds):
         name = self.random.choice(sorted(TARGETS))
@@ -271,7 +273,7 @@
                 f'{name} is ready after the faults',
                 RECOVERY_SECONDS,
             )
-            for wanted in ROUTES:
+            for wanted in self.routes:
                 self._wait_served(name, wanted['prefix'])
 
     def _wait_served(self, name, prefix):
@@ -446,10 +448,10 @@
         yield f'{name} got a stream with {answer.body[-40:]!r} at its end'
 
 
-def run_seed(seed, seconds):
+def run_seed(seed, seconds, kind=Soak):
     """Run one seed; return its problems, faults and requests."""
     with tempfile.TemporaryDirectory(prefix='soak-') as directory:
-        soak = Soak(seed, seconds, Path(directory))
+        soak = kind(seed, seconds, Path(directory))
         problems = soak.run()
         if problems:
             keep_logs(seed, directory)
@@ -464,7 +466,7 @@
         (kept / log.name).write_bytes(log.read_bytes())
 
 
-def main():
+def main(kind=Soak):
     """Run seeds and print a line for each."""
     parser = argparse.ArgumentParser()
     parser.add_argument('--first', type=int, default=1)
@@ -473,7 +475,7 @@
     options = parser.parse_args()
     failed = 0
     for seed in range(options.first, options.first + options.count):
-        problems, faults, seen = run_seed(seed, options.seconds)
+        problems, faults, seen = run_seed(seed, options.seconds, kind)
         served = sum(one.answer.status == 200 for one in seen)
         print(
             f'seed {seed}: {len(seen)} requests, {served} served, '
--- a/tests/gateway/test_soak.py
+++ b/tests/gateway/test_soak.py
@@ -3,6 +3,7 @@
 import pytest
 
 from tests.gateway.soak import run_seed
+from tests.gateway.soak_endings import EndingsSoak
 
 SECONDS = 8
 # Seeds that once failed stay, with their length and the cause.
@@ -26,3 +27,17 @@
     assert problems == []
     assert faults
     assert seen
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+def test_requests_that_end_engines_are_refused_under_random_faults(seed):
+    """Two callers end engine after engine, a crowd runs beside them.
+
+    Hosts that know are killed, frozen and stopped meanwhile and the store is
+    away at times. When all faults are over each host refuses both requests,
+    and nothing of the crowd was ever refused.
+    """
+    problems, faults, seen = run_seed(seed, SECONDS, EndingsSoak)
+    assert problems == []
+    assert faults
+    assert seen
--- a/tests/gateway/test_suspects.py
+++ b/tests/gateway/test_suspects.py
@@ -1,5 +1,6 @@
 """Which requests are refused for what ended under them, decided by words."""
 
+import asyncio
 import random
 
 import msgspec
@@ -7,11 +8,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from jacinthfold.catalogue.metadata import MetadataError
+from jacinthfold.catalogue.records import UnreadableRecordError
 from jacinthfold.fleet.heartbeat_message import Heartbeat, decode, encode
 from jacinthfold.fleet.table import HostState
 from jacinthfold.placement.target import Load
+from jacinthfold.placement.targets import TargetTable
 from jacinthfold.quarantine import ends
 from jacinthfold.quarantine.ends import BEGUN, WAITING, End, SuspectWord
+from jacinthfold.quarantine.quarantine import Quarantine
 from jacinthfold.quarantine.suspects import (
     FORGET_CHECK_SECONDS,
     NEWS_LIMIT,
@@ -307,3 +312,116 @@
     fleet.run(1.0)
     assert before.failures == 0
     assert before.failing_share == 0
+
+
+class SharedStore:
+    """Hold what hosts write, and tell each that reaches it."""
+
+    def __init__(self):
+        self.records = {}
+        self.is_down = False
+        self.listeners = []
+
+    async def grant_lease(self, _seconds):
+        if self.is_down:
+            raise MetadataError('down')
+        return 1
+
+    async def write_quarantine(self, contents, _lease):
+        if self.is_down:
+            raise MetadataError('down')
+        self.records.update(contents)
+        for listener in self.listeners:
+            for name, content in contents.items():
+                listener.take_record(name, content)
+
+
+def cut_off_hosts(store, count):
+    """Return hosts that reach the store and not each other."""
+    clock = FakeClock()
+    made = [
+        Quarantine(TargetTable({}, clock), store, clock) for _ in range(count)
+    ]
+    for host in made:
+        host.take_record('key', b'a key')
+        store.listeners.append(host)
+    return made
+
+
+def see_end(host, life):
+    at_ms = round(host._clock.now().timestamp() * 1000)
+    end = End(life, BEGUN, is_fresh=True, at_ms=at_ms)
+    host.suspects.note_end('q', end)
+
+
+async def written(hosts):
+    """Let hosts write until all that waits is in the store."""
+    tasks = [asyncio.create_task(host.writer.run()) for host in hosts]
+    async with asyncio.timeout(20):
+        while any(host.writer.waiting_count for host in hosts):
+            await asyncio.sleep(0.01)
+    for task in tasks:
+        task.cancel()
+
+
+def refuse_all(hosts):
+    return [host.suspects.refused_seconds('q') is not None for host in hosts]
+
+
+def test_regions_that_are_cut_from_each_other_learn_from_the_store():
+    """Each region reaches the store and none the other one.
+
+    One saw two ends and the other one: together they are three.
+    """
+    store = SharedStore()
+    hosts = cut_off_hosts(store, 3)
+    see_end(hosts[0], 'i-1')
+    see_end(hosts[0], 'i-2')
+
+    async def see_both():
+        await written(hosts)
+        assert refuse_all(hosts) == [False, False, False]
+        see_end(hosts[1], 'i-3')
+        await written(hosts)
+
+    asyncio.run(see_both())
+    assert refuse_all(hosts) == [True, True, True]
+
+
+def test_what_the_store_could_not_take_is_written_when_it_is_back():
+    store = SharedStore()
+    hosts = cut_off_hosts(store, 2)
+    store.is_down = True
+    for life in ('i-1', 'i-2', 'i-3'):
+        see_end(hosts[0], life)
+
+    async def come_back():
+        work = asyncio.create_task(written(hosts))
+        await asyncio.sleep(0.1)
+        assert store.records == {}
+        store.is_down = False
+        await work
+
+    asyncio.run(come_back())
+    assert refuse_all(hosts) == [True, True]
+
+
+def test_records_that_went_with_their_lease_are_still_known():
+    """Leases may run out while the store is away, and take records along."""
+    store = SharedStore()
+    (host,) = cut_off_hosts(store, 1)
+    for life in ('i-1', 'i-2', 'i-3'):
+        see_end(host, life)
+    asyncio.run(written([host]))
+    for name in store.records:
+        host.take_record(name, None)
+    assert refuse_all([host]) == [True]
+
+
+@pytest.mark.parametrize('content', [b'', b'{', b'[1]', b'"x"', b'[' * 9000])
+def test_unreadable_records_change_nothing(content):
+    (host,) = cut_off_hosts(SharedStore(), 1)
+    for name in ('q/i-1', 'q'):
+        with pytest.raises(UnreadableRecordError):
+            host.take_record(name, content)
+    assert not host.suspects
