--- a/jacinthfold/proxy/attempts.py
+++ b/jacinthfold/proxy/attempts.py
@@ -12,7 +12,7 @@
 from jacinthfold.placement.law import Answer
 from jacinthfold.placement.regions import RegionView, RemoteRegion
 from jacinthfold.placement.target import Target
-from jacinthfold.proxy import relay_header
+from jacinthfold.proxy import relay_header, unread
 from jacinthfold.proxy.caller_answer import CallerAnswer
 from jacinthfold.proxy.delivery import Delivery
 from jacinthfold.proxy.dialect import Dialect
@@ -24,7 +24,7 @@
 from jacinthfold.proxy.patience import Patience
 from jacinthfold.proxy.pool import Place, Pool
 from jacinthfold.proxy.progress import Progress
-from jacinthfold.quarantine.witness import Attempt, Witness
+from jacinthfold.quarantine.witness import Witness
 
 # Targets are in the same region, under 1 ms away: three lost packets' worth.
 CONNECT_SECONDS = 0.4
@@ -86,17 +86,21 @@
         patience = self._patience(request, progress, lambda: target.heard_at)
         delivery = Delivery(request, answer, progress, patience, self._clock)
         attempt = self._witness.begin(request, target, delivery.withdraw)
-        delivery.on_heard = partial(self._note_heard, attempt)
+        delivery.on_heard = partial(attempt.note_heard, self._clock)
         began_at = self._clock.monotonic()
-        unread = _Unread(estimate, request)
-        delivery.on_first_event = unread.note_read
+        prompt = unread.UnreadPrompt(estimate, request)
+        delivery.on_first_event = prompt.note_read
         try:
             outcome = await self._exchange(
                 target.place, CONNECT_SECONDS, request, headers, delivery
             )
         finally:
-            unread.release()
-            self._note_over(attempt, delivery)
+            prompt.release()
+            self._witness.note_over(
+                attempt,
+                delivery.first_event_at,
+                is_broken=delivery.is_broken,
+            )
         self._learn(target, outcome, delivery, began_at, estimate)
         self._count(request, outcome)
         return outcome
@@ -170,15 +174,6 @@
             return False
         return self._budgets.has_room(request.service_name)
 
-    def _note_over(self, attempt: Attempt, delivery: Delivery) -> None:
-        attempt.first_event_at = delivery.first_event_at or None
-        self._witness.note_over(attempt, is_broken=delivery.is_broken)
-
-    def _note_heard(self, attempt: Attempt) -> None:
-        now = self._clock.monotonic()
-        attempt.note_heard(now)
-        attempt.target.heard_at = now
-
     async def _exchange(
         self,
         place: Place,
@@ -284,32 +279,3 @@
     def _learn_hold(self, estimate: Estimate, streamed_seconds: float) -> None:
         law = self._regions.laws.of(estimate.target.record.service)
         law.note_hold(streamed_seconds + law.reading_seconds(estimate.work))
-
-
-class _Unread:
-    """Count a request's load on a target while it is there."""
-
-    def __init__(self, estimate: Estimate, request: Request) -> None:
-        facts = request.facts
-        target = estimate.target
-        self._target = target
-        self._unread = round(estimate.work)
-        self._held = facts.prompt_tokens + facts.output_tokens
-        target.own.requests += 1
-        target.own.unread_tokens += self._unread
-        self._urgent = self._unread if request.route.is_urgent else 0
-        target.own.urgent_tokens += self._urgent
-        target.own.held_tokens += self._held
-
-    def note_read(self) -> None:
-        """Take that the prompt has been read."""
-        self._target.own.unread_tokens -= self._unread
-        self._target.own.urgent_tokens -= self._urgent
-        self._unread = 0
-        self._urgent = 0
-
-    def release(self) -> None:
-        """Take that the request has ended."""
-        self.note_read()
-        self._target.own.requests -= 1
-        self._target.own.held_tokens -= self._held
--- a/jacinthfold/proxy/forwarding.py
+++ b/jacinthfold/proxy/forwarding.py
@@ -9,20 +9,21 @@
 from jacinthfold.placement.budget import RetryBudgets
 from jacinthfold.placement.choice import Placer
 from jacinthfold.placement.decision import Choice, PassTo, Refuse, SendTo
+from jacinthfold.proxy import request_log
 from jacinthfold.proxy.attempts import Attempts
 from jacinthfold.proxy.caller_answer import CallerAnswer
 from jacinthfold.proxy.dialect import Dialect
 from jacinthfold.proxy.messages import Headers, Request
 from jacinthfold.proxy.metrics import ProxyMetrics
 from jacinthfold.proxy.outcome import Ending, Outcome
-from jacinthfold.proxy.progress import QUARANTINED, Progress
+from jacinthfold.proxy.progress import Progress
 from jacinthfold.proxy.relay_header import (
     TOLD_NOT_RUN,
     TOLD_UNKNOWN,
     told,
     told_quarantined,
 )
-from jacinthfold.quarantine.quarantine import Quarantine, Refusal
+from jacinthfold.quarantine.quarantine import Quarantine
 
 # Callers heed a return time of at most a third of what they have left.
 RETURN_SHARE = 0.3
@@ -74,18 +75,20 @@
     ) -> None:
         goes_on = True
         while goes_on:
-            # Before each send, and not only the first: between two attempts
-            # other hosts may have seen targets end under the same request.
+            # One that ends targets comes again under another identifier, at
+            # any host. Before each send: since the last attempt other hosts
+            # may have seen more of them end.
             refusal = self._quarantine.refusal(request)
             if refusal is not None:
                 progress.note_quarantined(refusal.seconds)
-                self._log_quarantined(request, refusal)
+                self._metrics.quarantined.labels(request.service_name).inc()
+                request_log.log_quarantined(request, refusal)
                 break
             choice = self._placer.choose(
                 request, progress.tried, progress.tried_regions
             )
             if isinstance(choice, Refuse):
-                self._log_refusal(request, choice)
+                request_log.log_refusal(request, choice)
                 progress.note_refused(choice)
                 break
             if not self._may_send(request, progress):
@@ -102,13 +105,13 @@
         choice: Choice,
     ) -> bool:
         """Make one attempt; tell whether another one may follow."""
-        self._log_choice(request, choice, progress)
+        request_log.log_choice(request, choice, progress)
         outcome = await self._attempt(request, answer, progress, choice)
         progress.note(choice, outcome)
         if outcome.ending is Ending.DELIVERED:
             self._note_served(request, answer)
             return False
-        self._log_failure(request, progress, outcome)
+        request_log.log_failure(request, progress, outcome)
         return self._may_repeat(request, progress, outcome, answer)
 
     def _note_served(self, request: Request, answer: CallerAnswer) -> None:
@@ -206,73 +209,6 @@
             HTTPStatus.TOO_MANY_REQUESTS, headers, QUARANTINED_TEXT
         )
 
-    def _log_quarantined(self, request: Request, refusal: Refusal) -> None:
-        self._metrics.quarantined.labels(request.service_name).inc()
-        logs.event(
-            'request_refused',
-            request=request.facts.request_id,
-            reason=QUARANTINED,
-            service=request.service_name,
-            fingerprint=refusal.fingerprint,
-            after_seconds=refusal.seconds,
-        )
-
-    def _log_choice(
-        self, request: Request, choice: Choice, progress: Progress
-    ) -> None:
-        if isinstance(choice, SendTo):
-            estimate = choice.estimate
-            logs.event(
-                'request_placed',
-                request=request.facts.request_id,
-                attempt=progress.sends + 1,
-                service=request.service_name,
-                target=estimate.target.record.instance,
-                wait_seconds=estimate.wait_seconds,
-                expected_seconds=estimate.seconds,
-                prompt_tokens=request.facts.prompt_tokens,
-                cached_tokens=estimate.cached_tokens,
-                copied_from=estimate.keeper_name,
-                failing_share=estimate.target.failing_share,
-            )
-        if isinstance(choice, PassTo):
-            logs.event(
-                'request_passed_on',
-                request=request.facts.request_id,
-                attempt=progress.sends + 1,
-                service=request.service_name,
-                region=choice.region.name,
-                expected_seconds=choice.region.seconds,
-            )
-
-    def _log_refusal(self, request: Request, refusal: Refuse) -> None:
-        here, elsewhere = refusal.here, refusal.elsewhere
-        logs.event(
-            'request_refused',
-            request=request.facts.request_id,
-            reason=refusal.reason,
-            aim_seconds=request.route.aim_seconds,
-            prompt_tokens=request.facts.prompt_tokens,
-            wait_seconds=here.wait_seconds if here else None,
-            expected_seconds=here.seconds if here else None,
-            region=elsewhere.name if elsewhere else '',
-            region_seconds=elsewhere.seconds if elsewhere else None,
-        )
-
-    def _log_failure(
-        self, request: Request, progress: Progress, outcome: Outcome
-    ) -> None:
-        logs.warning(
-            'attempt_failed',
-            request=request.facts.request_id,
-            attempt=progress.sends,
-            at=progress.last_place,
-            ending=outcome.ending.value,
-            reason=outcome.reason,
-            runs=progress.runs,
-            last_event_id=progress.last_event_id,
-        )
-
     def _log_end(
         self, request: Request, answer: CallerAnswer, progress: Progress
     ) -> None:
--- a/jacinthfold/quarantine/quarantine.py
+++ b/jacinthfold/quarantine/quarantine.py
@@ -7,13 +7,14 @@
 from jacinthfold.quarantine.ends import BEGUN, WAITING, End, Suspect
 from jacinthfold.quarantine.fingerprints import Fingerprints
 from jacinthfold.quarantine.key import KEY_NAME, KeyMaker
+from jacinthfold.quarantine.presence import Presence, TargetEnd
 from jacinthfold.quarantine.store_writer import (
     STORED_ENDS,
     StoreWriter,
     read_record,
 )
 from jacinthfold.quarantine.suspects import Suspects
-from jacinthfold.quarantine.witness import Presence, TargetEnd, Witness
+from jacinthfold.quarantine.witness import Witness
 
 _MS = 1000
 
--- a/jacinthfold/quarantine/witness.py
+++ b/jacinthfold/quarantine/witness.py
@@ -7,7 +7,6 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Iterable
-from enum import Enum
 
 from jacinthfold import logs
 from jacinthfold.clock import Clock
@@ -18,6 +17,13 @@
 from jacinthfold.proxy.messages import Request
 from jacinthfold.quarantine.fingerprints import Fingerprints
 from jacinthfold.quarantine.heads import HeadTiming
+from jacinthfold.quarantine.presence import (
+    Attempt,
+    Cause,
+    Life,
+    Presence,
+    TargetEnd,
+)
 
 # After the first broken connection: the others of the same end break within a
 # few milliseconds.
@@ -38,99 +44,6 @@
 LINES_PER_END = 16
 
 
-class Cause(Enum):
-    """Say of what a target ended, as far as this host can tell."""
-
-    UNKNOWN = 'unknown'
-    SEVERAL_TOGETHER = 'several_together'
-    COLD_OVERRUN = 'cold_overrun'
-
-
-class _Life:
-    """Hold what is at one life of a target, and how it broke."""
-
-    __slots__ = ('attempts', 'broke_at', 'broken', 'cause', 'sent_at')
-
-    def __init__(self) -> None:
-        self.attempts: list['Attempt'] = []
-        self.sent_at: list[float] = []
-        self.broken: list['Attempt'] = []
-        self.broke_at = 0.0
-        # Of what it has ended, None while it has not.
-        self.cause: Cause | None = None
-
-    @property
-    def is_ended(self) -> bool:
-        return self.cause is not None
-
-
-class Attempt:
-    """Hold one request that is at a target."""
-
-    __slots__ = (
-        'begun_at',
-        'first_event_at',
-        'is_begun',
-        'life',
-        'request',
-        'target',
-        'withdraw',
-    )
-
-    def __init__(
-        self,
-        request: Request,
-        target: Target,
-        life: _Life,
-        withdraw: Callable[[], None],
-    ) -> None:
-        """Take the request, where it is and how to take it back."""
-        self.request = request
-        self.target = target
-        self.life = life
-        self.withdraw = withdraw
-        self.is_begun = False
-        # By the clock of this host, None before.
-        self.begun_at: float | None = None
-        self.first_event_at: float | None = None
-
-    def note_heard(self, now: float) -> None:
-        """Take that something of the answer came."""
-        self.is_begun = True
-        if self.begun_at is None:
-            self.begun_at = now
-
-
-class Presence:
-    """Hold a request that was at a target when it ended."""
-
-    __slots__ = ('fingerprint', 'has_events', 'is_begun', 'request_id')
-
-    def __init__(
-        self, attempt: Attempt, fingerprint: str, *, is_begun: bool
-    ) -> None:
-        """Take the attempt, and what its request is known by."""
-        self.fingerprint = fingerprint
-        self.request_id = attempt.request.facts.request_id
-        self.is_begun = is_begun
-        self.has_events = attempt.first_event_at is not None
-
-
-class TargetEnd:
-    """Hold one target's end as this host saw it."""
-
-    __slots__ = ('cause', 'life', 'present', 'service')
-
-    def __init__(
-        self, target: Target, cause: Cause, present: list[Presence]
-    ) -> None:
-        """Take which life ended, of what, and what was there."""
-        self.life = target.record.life
-        self.service = target.record.service
-        self.cause = cause
-        self.present = present
-
-
 class Witness:
     """Follow what is at targets and report their ends."""
 
@@ -142,7 +55,7 @@
         self._fingerprints = fingerprints
         self._clock = clock
         self._heads = HeadTiming()
-        self._lives: dict[str, _Life] = {}
+        self._lives: dict[str, Life] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self.on_end: Callable[[TargetEnd], None] = _hear_nothing
         self.listens: Callable[[Target], Awaitable[bool | None]] = _listens
@@ -151,10 +64,10 @@
         self, request: Request, target: Target, withdraw: Callable[[], None]
     ) -> Attempt:
         """Take that a request leaves for a target."""
-        life = self._lives.setdefault(target.record.life, _Life())
+        life = self._lives.setdefault(target.record.life, Life())
         if life.is_ended:
             # It listens again under the same name, and another end may come.
-            life = _Life()
+            life = Life()
             self._lives[target.record.life] = life
         attempt = Attempt(request, target, life, withdraw)
         now = self._clock.monotonic()
@@ -170,8 +83,14 @@
             life.sent_at.append(now)
         return attempt
 
-    def note_over(self, attempt: Attempt, *, is_broken: bool) -> None:
-        """Take that an attempt has ended; broken by the other side or not."""
+    def note_over(
+        self, attempt: Attempt, first_event_at: float, *, is_broken: bool
+    ) -> None:
+        """Take that an attempt is over, and when its first event came.
+
+        The time is 0 where none came; broken means by the other side.
+        """
+        attempt.first_event_at = first_event_at or None
         target = attempt.target
         life = attempt.life
         life.attempts.remove(attempt)
@@ -193,7 +112,7 @@
         if life.is_ended or not life.broken:
             self._drop(target, life)
 
-    def _drop(self, target: Target, life: _Life) -> None:
+    def _drop(self, target: Target, life: Life) -> None:
         if self._lives.get(target.record.life) is life:
             self._lives.pop(target.record.life)
 
@@ -207,7 +126,7 @@
         service = self._targets.service(target.record.service)
         return not service.is_engine or self._heads.tells(service.name)
 
-    def _note_broken(self, life: _Life, attempt: Attempt) -> None:
+    def _note_broken(self, life: Life, attempt: Attempt) -> None:
         target = attempt.target
         if life.is_ended:
             # Noticed late: the others of this end were told already.
@@ -233,7 +152,7 @@
         if not task.cancelled() and task.exception() is not None:
             logs.error('look_failed', reason=repr(task.exception()))
 
-    async def _look(self, target: Target, life: _Life) -> None:
+    async def _look(self, target: Target, life: Life) -> None:
         """Find out whether a target whose connections broke has ended."""
         listens = await self._listens_after(target, GATHER_SECONDS)
         if listens is not False:
@@ -256,13 +175,13 @@
         await asyncio.sleep(pause_seconds)
         return await self.listens(target)
 
-    def _note_ended(self, target: Target, life: _Life) -> None:
+    def _note_ended(self, target: Target, life: Life) -> None:
         cause, present = self._explain(target, life)
         life.cause = cause
         self._tell(target, present, cause)
 
     def _explain(
-        self, target: Target, life: _Life
+        self, target: Target, life: Life
     ) -> tuple[Cause, list[Attempt]]:
         """Return the cause, and the requests that may have been it."""
         service = self._targets.service(target.record.service)
@@ -284,7 +203,7 @@
         ]
         return Cause.SEVERAL_TOGETHER, common
 
-    def _broken_together(self, target: Target, life: _Life) -> list[Attempt]:
+    def _broken_together(self, target: Target, life: Life) -> list[Attempt]:
         """Return what was at other targets that broke at the same moment."""
         return [
             attempt
--- a/tests/gateway/test_witness.py
+++ b/tests/gateway/test_witness.py
@@ -7,7 +7,8 @@
 
 from jacinthfold.quarantine import witness as seen
 from jacinthfold.quarantine.fingerprints import Fingerprints
-from jacinthfold.quarantine.witness import Cause, Witness
+from jacinthfold.quarantine.presence import Cause
+from jacinthfold.quarantine.witness import Witness
 from tests.gateway.test_placement import Scene
 
 
@@ -41,7 +42,7 @@
         attempt = self.witness.begin(request, target, lambda: None)
         now = self.scene.clock.monotonic()
         if has_head:
-            attempt.note_heard(now)
+            attempt.note_heard(self.scene.clock)
         if has_events:
             attempt.first_event_at = now + 0.1
         return attempt
@@ -49,12 +50,13 @@
     def learn_heads(self, lead_seconds=0.1):
         """Have an answer show when heads come."""
         attempt = self.begin('i-1')
-        attempt.first_event_at = attempt.begun_at + lead_seconds
-        self.witness.note_over(attempt, is_broken=False)
+        first_at = attempt.begun_at + lead_seconds
+        self.witness.note_over(attempt, first_at, is_broken=False)
 
     async def break_all(self, *attempts):
         for attempt in attempts:
-            self.witness.note_over(attempt, is_broken=True)
+            first_at = attempt.first_event_at or 0.0
+            self.witness.note_over(attempt, first_at, is_broken=True)
         await self.looked()
 
     async def looked(self):
@@ -167,7 +169,7 @@
     attempt = watch.begin('i-1')
 
     async def lose():
-        watch.witness.note_over(attempt, is_broken=True)
+        watch.witness.note_over(attempt, 0.0, is_broken=True)
         await asyncio.sleep(0.01)
         assert watch.reports == []
         watch.scene.targets.remove('i-1')
