--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -130,7 +130,7 @@
 def test_requests_beside_the_one_that_ends_engines_are_served(engines):
     """Others run at the engines that end, lose their answers, and come again.
 
-    Each of them was at several ends, by chance; none is ever refused for it.
+    How many ends each is at depends on chance; none is ever refused for it.
     """
     deployment = engines.deployment
     is_over = threading.Event()
