--- a/jacinthfold/catalogue/follower.py
+++ b/jacinthfold/catalogue/follower.py
@@ -61,8 +61,10 @@
 
     async def _step(self) -> None:
         if not self._is_listed:
+            asked_at = self._clock.boottime()
             records, revision = await self._store.list_all()
             self._catalogue.replace(records, revision)
+            self._catalogue.freshness.note(asked_at, revision)
             self._is_listed = True
             self._note_reached()
             return
@@ -71,12 +73,16 @@
             await asyncio.sleep(GATHER_SECONDS)
             return
         since = self._catalogue.revision
+        asked_at = self._clock.boottime()
         changes, revision = await self._store.changes_since(
             since, WATCH_SECONDS
         )
         self._note_reached()
         self._catalogue.apply(changes, revision)
         if changes:
+            # Without changes it proves nothing: a store that drops its history
+            # lets watches wait while things change.
+            self._catalogue.freshness.note(asked_at, revision)
             await asyncio.sleep(GATHER_SECONDS)
 
     def _note_watching(self, *, is_watching: bool) -> None:
--- a/jacinthfold/catalogue/metadata.py
+++ b/jacinthfold/catalogue/metadata.py
@@ -33,6 +33,9 @@
     ) -> tuple[list[Record], int]:
         """Return changes after a revision, waiting for the first one."""
 
+    async def current_revision(self) -> int:
+        """Return the store's revision, read and not from memory."""
+
     async def grant_lease(self, seconds: float) -> int:
         """Return a new lease that ends unless it is renewed."""
 
@@ -45,6 +48,15 @@
     async def write_host(self, name: str, content: bytes, lease: int) -> None:
         """Write an entry host's record, whatever stood there before."""
 
+    async def claim(
+        self, name: str, content: bytes, *, after: int, lease: int
+    ) -> int:
+        """Write an issuer's record in place of a revision, 0 for none.
+
+        Return the new revision; raise MetadataConflictError when another one
+        stands there, LeaseLostError when the lease has ended.
+        """
+
     async def write_quarantine(
         self, contents: Mapping[str, bytes], lease: int
     ) -> None:
--- a/jacinthfold/catalogue/model.py
+++ b/jacinthfold/catalogue/model.py
@@ -4,6 +4,8 @@
 from collections.abc import Mapping
 from enum import Enum
 
+from jacinthfold.organisations.model import OrganisationTable
+
 
 class Repetition(Enum):
     """Say what may be repeated of a route's requests."""
@@ -21,6 +23,7 @@
         'gap_aim_seconds',
         'home_regions',
         'host_name',
+        'is_public',
         'is_stream',
         'max_attempts',
         'name',
@@ -43,6 +46,8 @@
         self.host_name = host_name
         self.prefix = prefix
         self.services = services
+        # Served to callers without a key, where organisations have keys.
+        self.is_public = False
         self.is_stream = False
         self.repetition = Repetition.NEVER
         self.timeout_seconds = 30.0
@@ -52,15 +57,6 @@
         self.max_attempts = 1
         self.home_regions: frozenset[str] = frozenset()
 
-    @property
-    def is_urgent(self) -> bool:
-        """Tell whether targets serve the route's requests before others."""
-        return self.priority == 0
-
-    def allows(self, region: str) -> bool:
-        """Tell whether a region may serve the route's requests."""
-        return not self.home_regions or region in self.home_regions
-
     def service_for(self, request_id: str) -> str:
         """Return the service of a request, the same on every host."""
         if len(self.services) == 1:
@@ -134,7 +130,14 @@
 class RouteTable:
     """Hold one version of the operator's configuration."""
 
-    __slots__ = ('_by_host', 'limits', 'routes', 'services', 'version')
+    __slots__ = (
+        '_by_host',
+        'limits',
+        'organisations',
+        'routes',
+        'services',
+        'version',
+    )
 
     def __init__(
         self,
@@ -142,12 +145,14 @@
         routes: tuple[Route, ...],
         services: Mapping[str, Service],
         limits: CallerLimits,
+        organisations: OrganisationTable | None = None,
     ) -> None:
         """Take the parts and index the routes by host name."""
         self.version = version
         self.routes = routes
         self.services = dict(services)
         self.limits = limits
+        self.organisations = organisations or OrganisationTable()
         self._by_host: dict[str, list[Route]] = {}
         for route in sorted(routes, key=_longest_first):
             self._by_host.setdefault(route.host_name, []).append(route)
--- a/jacinthfold/catalogue/records.py
+++ b/jacinthfold/catalogue/records.py
@@ -6,6 +6,7 @@
 from typing import Any, Protocol
 
 from jacinthfold import logs
+from jacinthfold.catalogue.freshness import Freshness
 from jacinthfold.catalogue.model import HostRecord, RouteTable, TargetRecord
 from jacinthfold.clock import Clock
 
@@ -39,6 +40,7 @@
     EVACUATION = 'evacuation'
     HOST = 'host'
     QUARANTINE = 'quarantine'
+    ISSUER = 'issuer'
     OTHER = 'other'
 
 
@@ -76,6 +78,9 @@
     def on_quarantine(self, name: str, content: bytes | None) -> None:
         """Take a record on requests under which targets ended."""
 
+    def on_issuer(self, name: str, record: Record) -> None:
+        """Take which host issues shares of caps, or that none does."""
+
 
 class Catalogue:
     """Hold records by key and tell a listener what changes."""
@@ -97,6 +102,7 @@
         self._removals_since = 0
         self.revision = 0
         self.changed_at = clock.monotonic()
+        self.freshness = Freshness(clock)
         self.routes: RouteTable | None = None
         self.evacuated: frozenset[str] = frozenset()
 
@@ -145,6 +151,7 @@
         if revision > self.revision:
             self.revision = revision
             self.changed_at = self._clock.monotonic()
+            self.freshness.advance(revision)
 
     def _apply_one(self, record: Record) -> None:
         known = self._records.get(record.key)
@@ -189,6 +196,7 @@
             Kind.EVACUATION: self._announce_evacuation,
             Kind.HOST: self._announce_host,
             Kind.QUARANTINE: self._announce_quarantine,
+            Kind.ISSUER: self._announce_issuer,
         }
         if kind in announce:
             announce[kind](name, record)
@@ -245,6 +253,10 @@
         for listener in self._listeners:
             listener.on_quarantine(name, record.content)
 
+    def _announce_issuer(self, name: str, record: Record) -> None:
+        for listener in self._listeners:
+            listener.on_issuer(name, record)
+
 
 def _by_revision(record: Record) -> int:
     return record.revision
--- a/jacinthfold/clock.py
+++ b/jacinthfold/clock.py
@@ -11,6 +11,9 @@
     def monotonic(self) -> float:
         """Return seconds that never go back, from an arbitrary start."""
 
+    def boottime(self) -> float:
+        """Return such seconds that run on while the machine is suspended."""
+
     def now(self) -> datetime:
         """Return the date and time in UTC."""
 
@@ -22,6 +25,10 @@
         """Return seconds that never go back, from an arbitrary start."""
         return time.monotonic()
 
+    def boottime(self) -> float:
+        """Return such seconds that run on while the machine is suspended."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     def now(self) -> datetime:
         """Return the date and time in UTC."""
         return datetime.now(UTC)
--- a/jacinthfold/fleet/digest_exchange.py
+++ b/jacinthfold/fleet/digest_exchange.py
@@ -12,6 +12,7 @@
 )
 from jacinthfold.fleet.digests import DigestView
 from jacinthfold.fleet.gathering import Gathering
+from jacinthfold.fleet.proofs import ProofExchange
 from jacinthfold.fleet.table import HostEntry, HostTable
 from jacinthfold.quarantine.ends import SuspectWord
 
@@ -33,6 +34,7 @@
         collectors: Collectors,
         gathering: Gathering,
         view: DigestView,
+        proofs: ProofExchange,
         send: Callable[[bytes, Place], None],
         clock: Clock,
     ) -> None:
@@ -41,6 +43,7 @@
         self._collectors = collectors
         self._gathering = gathering
         self._view = view
+        self._proofs = proofs
         self._send = send
         self._clock = clock
         self._random = random.Random()
@@ -54,6 +57,7 @@
             return
         own = self._gathering.digest(self._clock.monotonic(), rank)
         own.suspects = self.suspect_news(own.is_full)
+        self._proofs.fill_digest(own)
         self._view.take(own)
         near = self._hosts.near()
         home = self._hosts.own.data_centre
@@ -71,6 +75,8 @@
         for digest in digests:
             if digest.collector != self._hosts.own.name:
                 self._view.take(digest)
+            if digest.data_centre == self._hosts.own.data_centre:
+                self._proofs.take_digest(digest)
         if digests and digests[0].address == sender_address:
             self._pass_on(digests[0], content)
 
--- a/jacinthfold/fleet/digest_message.py
+++ b/jacinthfold/fleet/digest_message.py
@@ -6,6 +6,7 @@
 from jacinthfold.fleet.heartbeat_message import (
     DIGEST_MARK,
     LoadFigures,
+    ProofWord,
     packed,
     unpacked,
 )
@@ -62,6 +63,8 @@
     laws: dict[str, list[float]] = {}
     # Requests under which targets ended.
     suspects: list[SuspectWord] = []
+    # How old its maker's knowledge of the store was.
+    proof: ProofWord | None = None
 
 
 class Digests(msgspec.Struct):
--- a/jacinthfold/fleet/directory.py
+++ b/jacinthfold/fleet/directory.py
@@ -1,6 +1,7 @@
 """Tell callers which entry hosts to use."""
 
 import random
+from collections.abc import Callable
 
 from jacinthfold.catalogue.model import HostRecord
 from jacinthfold.catalogue.records import Catalogue
@@ -24,12 +25,13 @@
         self._hosts = hosts
         self._catalogue = catalogue
         self._random = source
+        self.own_reaches_store: Callable[[], bool] = lambda: True
 
     def resolve(
         self, host_name: str, region: str, data_centre: str
     ) -> list[HostRecord]:
         """Return hosts for a caller, none if none is known to serve."""
-        near = self._hosts.serving(region)
+        near = self._knowing(self._hosts.serving(region))
         same = [one for one in near if one.data_centre == data_centre]
         chosen = same if len(same) >= NEAR_AT_LEAST else near
         if not chosen:
@@ -37,6 +39,15 @@
         self._random.shuffle(chosen)
         return chosen[:ADDRESS_LIMIT]
 
+    def _knowing(self, hosts: list[HostRecord]) -> list[HostRecord]:
+        """Return the hosts that reach the store, all if none does."""
+        # A host that can't hear of keys that are taken away soon serves no
+        # request with a key: callers led to it would be sent away again.
+        able = set(self._hosts.all_reaching_store())
+        if self.own_reaches_store():
+            able.add(self._hosts.own.name)
+        return [one for one in hosts if one.name in able] or hosts
+
     def _far(self, host_name: str) -> list[HostRecord]:
         # A host that has just started knows no routes, and so no homes: led
         # by it to a region where theirs may not be served, callers would stay
--- a/jacinthfold/fleet/heartbeat_message.py
+++ b/jacinthfold/fleet/heartbeat_message.py
@@ -18,6 +18,10 @@
 LoadFigures = tuple[int, int, int, int]
 # Wait of ordinary and of urgent requests in seconds, number of targets.
 RoomFigures = tuple[float, float, int]
+# Age in milliseconds, and the store's revision that was known then.
+ProofWord = tuple[int, int]
+# A part of the incarnation, and the number of a message that was heard.
+Echo = tuple[int, int]
 
 
 class Heartbeat(msgspec.Struct):
@@ -50,6 +54,10 @@
     count: int = 0
     # Requests under which targets ended.
     suspects: list[SuspectWord] = []
+    # How old the knowledge of the store is, and of whom what was heard last.
+    proof: ProofWord | None = None
+    heard_beats: dict[str, Echo] = {}
+    heard_digests: dict[str, Echo] = {}
 
 
 # Bytes of most heartbeats; a change here needs another mark.
--- a/jacinthfold/fleet/heartbeats.py
+++ b/jacinthfold/fleet/heartbeats.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from typing import Any, cast
 
 from jacinthfold import logs
@@ -25,10 +26,12 @@
     encode,
     pack,
 )
+from jacinthfold.fleet.proofs import ProofExchange
 from jacinthfold.fleet.table import HostEntry, HostState, HostTable
 from jacinthfold.placement.regions import RegionReport, RegionView
 from jacinthfold.placement.target import Load
 from jacinthfold.placement.targets import TargetTable
+from jacinthfold.quota.messages import QUOTA_MARK
 
 BEAT_SECONDS = 0.2
 BEAT_LIMIT_SECONDS = 0.4
@@ -80,12 +83,14 @@
         self._digests.take_suspects = lambda words: self.content.suspects.take(
             words, is_near=True
         )
+        self.proofs = ProofExchange(hosts.own, catalogue.freshness, clock)
         self._exchange = DigestExchange(
             hosts,
             self._collectors,
             self._gathering,
             self._digests,
-            lambda content, place: self._send(content, place),
+            self.proofs,
+            lambda content, place: self.send(content, place),
             clock,
         )
         self._exchange.suspect_news = lambda is_full: (
@@ -98,6 +103,8 @@
         self._unsent_told_at = float('-inf')
         self._random = random.Random()
         self.seeds: tuple[Place, ...] = ()
+        # What the same socket carries beside heartbeats.
+        self.take_quota: Callable[[bytes, Place], None] = _take_nothing
 
     async def start(self) -> None:
         """Bind the socket; raise OSError when the port is taken."""
@@ -140,7 +147,9 @@
     def datagram_received(self, content: bytes, addr: Any) -> None:
         """Take a heartbeat or digests."""
         try:
-            if content.startswith(DIGEST_MARK):
+            if content.startswith(QUOTA_MARK):
+                self.take_quota(content, addr)
+            elif content.startswith(DIGEST_MARK):
                 self._exchange.take(content, addr[0])
             else:
                 self._take(decode(content))
@@ -159,6 +168,11 @@
         self._unsent_told_at = now
         self._unsent_count = 0
 
+    def send(self, content: bytes, place: Place) -> None:
+        """Send a datagram to another host."""
+        if self._transport is not None and len(content) < DATAGRAM_LIMIT_BYTES:
+            self._transport.sendto(content, place)
+
     def _beat_seconds(self) -> float:
         if self._is_collected and self._digests.carries_own():
             return BEAT_SECONDS
@@ -214,7 +228,7 @@
         content = self._message()
         for address, _ in self.seeds:
             if address != own.address:
-                self._send(content, (address, own.relay_port))
+                self.send(content, (address, own.relay_port))
 
     def _tell(self, entries: list[HostEntry], content: bytes) -> None:
         if not entries:
@@ -222,11 +236,7 @@
         packed = pack(content)
         for entry in entries:
             place = (entry.record.address, entry.record.relay_port)
-            self._send(packed if entry.reads_packed else content, place)
-
-    def _send(self, content: bytes, place: Place) -> None:
-        if self._transport is not None and len(content) < DATAGRAM_LIMIT_BYTES:
-            self._transport.sendto(content, place)
+            self.send(packed if entry.reads_packed else content, place)
 
     def _message(self, *, is_near: bool = True) -> bytes:
         if is_near:
@@ -237,6 +247,7 @@
         is_full = self._count % FULL_EVERY_BEATS == 0
         heartbeat = self.content.near(self._count, is_full=is_full)
         self._digests.own_loads.note(self._count, heartbeat.loads)
+        self.proofs.fill_heartbeat(heartbeat)
         return heartbeat
 
     def _take(self, heartbeat: Heartbeat) -> None:
@@ -259,6 +270,7 @@
         if host.data_centre == self._hosts.own.data_centre:
             self._gathering.take(heartbeat, now)
         if is_near:
+            self.proofs.take_heartbeat(heartbeat)
             self._take_loads(host.name, heartbeat, now)
 
     def _take_loads(self, name: str, heartbeat: Heartbeat, now: float) -> None:
@@ -277,3 +289,7 @@
     waits = {service: (room[0], room[1]) for service, room in rooms.items()}
     counts = {service: room[2] for service, room in rooms.items()}
     return RegionReport(region, now, waits, counts)
+
+
+def _take_nothing(_content: bytes, _sender: Place) -> None:
+    """Leave out what nobody here reads."""
--- a/jacinthfold/fleet/table.py
+++ b/jacinthfold/fleet/table.py
@@ -187,6 +187,19 @@
             and (entry.is_registered or self._is_live(entry))
         ]
 
+    def registered(self) -> list[str]:
+        """Return names of other hosts that the store lists."""
+        return [
+            name for name, entry in self._entries.items() if entry.is_registered
+        ]
+
+    def place_of(self, name: str) -> tuple[str, int] | None:
+        """Return where a host takes datagrams, None where it isn't known."""
+        entry = self._entries.get(name)
+        if entry is None:
+            return None
+        return entry.record.address, entry.record.relay_port
+
     def heard_at(self, name: str) -> float:
         """Return when a host was last heard, by the clock of this table."""
         entry = self._entries.get(name)
@@ -203,6 +216,14 @@
             and self._is_live(entry)
         ]
 
+    def all_reaching_store(self) -> list[str]:
+        """Return names of other hosts that said they reach the store."""
+        return [
+            name
+            for name, entry in self._entries.items()
+            if entry.status.reaches_store
+        ]
+
     def active_in(self, data_centre: str, seconds: float) -> list[str]:
         """Return names of hosts of a data centre heard as active lately."""
         limit = self._clock.monotonic() - seconds
--- a/jacinthfold/gateway/handlers.py
+++ b/jacinthfold/gateway/handlers.py
@@ -18,13 +18,17 @@
 from jacinthfold.gateway.adapter import HostCalls
 from jacinthfold.gateway.leaving import Leaving
 from jacinthfold.proxy import relay_header
+from jacinthfold.proxy.admission import STALE_RETURN_SECONDS
 from jacinthfold.proxy.caller_answer import CallerAnswer, RawRequest
 from jacinthfold.proxy.dialect import Dialect
 from jacinthfold.proxy.forwarding import Forwarder
+from jacinthfold.proxy.key_gate import KeyGate
 from jacinthfold.proxy.messages import Headers, Request
 from jacinthfold.proxy.metrics import ProxyMetrics
 
 JSON_HEADERS: Headers = [(b'Content-Type', b'application/json')]
+# Of an answer to a caller whose key nobody holds (RFC 9110, section 11.6.1).
+CHALLENGE = (b'WWW-Authenticate', b'Bearer')
 TEXT_HEADERS: Headers = [(b'Content-Type', b'text/plain; version=0.0.4')]
 # A host that knows no routes yet asks peers and the store several times in
 # this long.
@@ -39,12 +43,14 @@
     def __init__(
         self,
         catalogue: Catalogue,
+        gate: KeyGate,
         forwarder: Forwarder,
         dialect: Dialect,
         leaving: Leaving,
         clock: Clock,
     ) -> None:
-        """Take the routes and who serves."""
+        """Take the routes, the keys and who serves."""
+        self._gate = gate
         self._leaving = leaving
         self._catalogue = catalogue
         self._forwarder = forwarder
@@ -80,6 +86,11 @@
             await answer.whole(HTTPStatus.NOT_FOUND, own, b'')
             return
         work.route = route
+        if len(table.organisations):
+            status = self._identify(work)
+            if status is not HTTPStatus.OK:
+                await self._turn_away(work, status, answer)
+                return
         work.service_name = route.service_for(facts.request_id)
         patience = route.timeout_seconds
         if facts.patience_seconds is not None:
@@ -90,6 +101,40 @@
             return
         await self._forwarder.serve(work, answer)
 
+    def _identify(self, work: Request) -> HTTPStatus:
+        """Find who calls; return 200, or the status to answer with."""
+        work.headers = self._dialect.without_credentials(work.headers)
+        work.facts.caller = ''
+        if work.route.is_public:
+            return HTTPStatus.OK
+        if not self._gate.is_fresh:
+            return HTTPStatus.SERVICE_UNAVAILABLE
+        organisation = self._gate.holder(work.facts.key_digest)
+        if organisation is None:
+            if self._gate.may_deny:
+                return HTTPStatus.UNAUTHORIZED
+            return HTTPStatus.SERVICE_UNAVAILABLE
+        work.organisation = organisation
+        # The quarantine knows callers apart by this.
+        work.facts.caller = organisation.name
+        return HTTPStatus.OK
+
+    async def _turn_away(
+        self, work: Request, status: HTTPStatus, answer: CallerAnswer
+    ) -> None:
+        logs.event(
+            'request_not_identified',
+            request=work.facts.request_id,
+            status=int(status),
+            knowledge_age_seconds=self._gate.age_seconds,
+        )
+        headers = self._dialect.own_headers(work.facts.request_id)
+        if status is HTTPStatus.UNAUTHORIZED:
+            headers.append(CHALLENGE)
+        else:
+            headers += self._dialect.retry_headers(STALE_RETURN_SECONDS)
+        await answer.whole(status, headers, b'')
+
     def _log_unrouted(self, work: Request, status: int, version: int) -> None:
         logs.event(
             'request_unrouted',
@@ -106,12 +151,14 @@
 
     def __init__(
         self,
+        gate: KeyGate,
         forwarder: Forwarder,
         dialect: Dialect,
         leaving: Leaving,
         clock: Clock,
     ) -> None:
-        """Take who serves."""
+        """Take who calls and who serves."""
+        self._gate = gate
         self._leaving = leaving
         self._forwarder = forwarder
         self._dialect = dialect
@@ -128,12 +175,19 @@
                 request.body,
                 facts,
             )
-            relay_header.read(work, self._clock.monotonic())
+            caller = relay_header.read(work, self._clock.monotonic())
         except (ValueError, KeyError) as error:
             logs.warning('relay_malformed', reason=repr(error))
             await answer.whole(HTTPStatus.BAD_REQUEST, [], b'')
             return
         work.headers = relay_header.without_internal(work.headers)
+        if caller:
+            work.organisation = self._gate.named(caller)
+            work.facts.caller = caller
+            if work.organisation is None:
+                # Not known yet, or not any more: the other host may know more.
+                await _refuse_relayed(work, self._dialect, answer)
+                return
         if not self._leaving.may_take(work):
             await _refuse_leaving(work, self._dialect, answer)
             return
@@ -236,6 +290,20 @@
 ) -> None:
     """Send a caller to another host."""
     logs.event('request_refused_leaving', request=work.facts.request_id)
+    await _refuse(work, dialect, answer)
+
+
+async def _refuse_relayed(
+    work: Request, dialect: Dialect, answer: CallerAnswer
+) -> None:
+    """Tell another host that nobody is known here for whom it asks."""
+    logs.event('request_refused_unknown', request=work.facts.request_id)
+    await _refuse(work, dialect, answer)
+
+
+async def _refuse(
+    work: Request, dialect: Dialect, answer: CallerAnswer
+) -> None:
     headers = dialect.own_headers(work.facts.request_id)
     headers += dialect.retry_headers(OTHER_HOST_SECONDS)
     if work.is_relayed:
--- a/jacinthfold/gateway/knowledge.py
+++ b/jacinthfold/gateway/knowledge.py
@@ -13,17 +13,17 @@
     RouteTable,
     TargetRecord,
 )
-from jacinthfold.catalogue.records import Catalogue
+from jacinthfold.catalogue.records import Catalogue, Record
 from jacinthfold.clock import Clock
 from jacinthfold.fleet.heartbeats import Heartbeats
 from jacinthfold.fleet.snapshots import Snapshots
 from jacinthfold.fleet.table import HostState, HostTable
 from jacinthfold.fleet.watchers import Watchers
 from jacinthfold.gateway.adapter import Adapter
+from jacinthfold.gateway.organisations import OrganisationDuties
 from jacinthfold.gateway.settings import GatewaySettings
 from jacinthfold.placement.budget import RetryBudgets
 from jacinthfold.placement.choice import Placer
-from jacinthfold.placement.law import ReadingLaw
 from jacinthfold.placement.pace import ColdPace
 from jacinthfold.placement.regions import RegionView
 from jacinthfold.placement.targets import TargetTable
@@ -62,6 +62,9 @@
         self.catalogue.subscribe(self)
         self.follower = Follower(adapter.store, self.catalogue, clock)
         self.registration = Registration(adapter.store, own)
+        self.organisations = OrganisationDuties(
+            settings, adapter.store, self.catalogue, self.hosts, clock
+        )
         self.regions = RegionView(own.region, clock)
         self.regions.laws = self.targets.laws
         self._laws_told_at = clock.monotonic()
@@ -78,7 +81,8 @@
             self.placer,
             clock,
         )
-        self.heartbeats.content.reaches_store = self._reaches_store
+        self.heartbeats.content.reaches_store = self.reaches_store
+        self.organisations.join(self.follower, self.heartbeats)
         self.snapshots = Snapshots(self.hosts, self.catalogue, caller, clock)
         watchers = Watchers(self.hosts)
         self.follower.watches = watchers.own_watches
@@ -122,6 +126,7 @@
     def on_routes(self, table: RouteTable) -> None:
         """Take a newer configuration."""
         self.targets.follow_services(table.services)
+        self.organisations.follow(table)
         latest = table.limits.idle_timeout_seconds
         self._idle_limits = [self._idle_limits[-1], latest]
         self._become_ready()
@@ -146,6 +151,10 @@
         """Take a record on requests under which targets ended."""
         self.quarantine.take_record(name, content)
 
+    def on_issuer(self, name: str, record: Record) -> None:
+        """Take which host issues shares of caps, or that none does."""
+        self.organisations.quota.issuers.take_record(name, record)
+
     async def keep_house(self) -> None:
         """Become ready, and drop what is gone, until cancelled."""
         while True:
@@ -171,6 +180,7 @@
             'store_reached': self.follower.is_reached,
             'version': table.version if table else None,
             'evacuated': sorted(self.catalogue.evacuated),
+            **self.organisations.dump(),
             'hosts': [
                 {
                     'name': entry.record.name,
@@ -180,7 +190,7 @@
                 for entry in self.hosts.others()
             ],
             'engine_laws': {
-                service: _law_fields(law)
+                service: law.fields()
                 for service, law in self.targets.laws.all().items()
             },
             'quarantined': self.quarantine.suspects.refused(),
@@ -197,7 +207,8 @@
             ],
         }
 
-    def _reaches_store(self) -> bool:
+    def reaches_store(self) -> bool:
+        """Tell whether this host has a way to the store."""
         # A host that leaves watching to others learns from its lease alone.
         is_followed = self.follower.is_reached or not self.follower.watches()
         return is_followed and self.registration.is_reached
@@ -208,7 +219,7 @@
             return
         self._laws_told_at = now
         for service, law in self.targets.laws.all().items():
-            logs.event('engine_law', service=service, **_law_fields(law))
+            logs.event('engine_law', service=service, **law.fields())
 
     def _become_ready(self) -> None:
         if self.hosts.own_state is not HostState.STARTING:
@@ -229,11 +240,3 @@
     def _follow_hosts(self) -> None:
         self._pace.follow_hosts(self.hosts.names_in(self.own.region))
         self.budgets.follow_hosts(1 + len(self.hosts.others()))
-
-
-def _law_fields(law: ReadingLaw) -> dict[str, float]:
-    return {
-        'tokens_per_ms': round(0.001 / law.seconds_per_token, 1),
-        'ms_per_million_pairs': round(law.seconds_per_pair * 1000, 3),
-        'first_event_ms': round(law.seconds * 1000, 1),
-    }
--- a/jacinthfold/gateway/node.py
+++ b/jacinthfold/gateway/node.py
@@ -96,18 +96,29 @@
             ),
             known.budgets,
             known.quarantine,
+            known.organisations.admission(known.quarantine, self.metrics),
             dialect,
             self.metrics,
             self._clock,
         )
         caller_handler = handlers.CallerHandler(
-            known.catalogue, forwarder, dialect, self._leaving, self._clock
+            known.catalogue,
+            known.organisations.key_gate,
+            forwarder,
+            dialect,
+            self._leaving,
+            self._clock,
         )
         relay_handler = handlers.RelayHandler(
-            forwarder, dialect, self._leaving, self._clock
+            known.organisations.key_gate,
+            forwarder,
+            dialect,
+            self._leaving,
+            self._clock,
         )
         ready_handler = handlers.ReadyHandler(adapter.calls, known.is_ready)
         directory = Directory(known.hosts, known.catalogue, Random())
+        directory.own_reaches_store = known.reaches_store
         directory_handler = handlers.DirectoryHandler(adapter.calls, directory)
         control_handler = handlers.ControlHandler(known.catalogue, known.dump)
         metrics_handler = handlers.MetricsHandler(self.metrics)
@@ -142,6 +153,9 @@
         )
         for duty in (
             known.follower.run,
+            known.organisations.prover.run,
+            known.organisations.quota.issuers.run,
+            known.organisations.quota.pools.run,
             known.registration.run,
             known.heartbeats.run,
             known.snapshots.run,
@@ -201,6 +215,7 @@
         self._callers.is_leaving = True
         self._relay.is_leaving = True
         self._begin(known.registration.leave())
+        self._begin(known.organisations.quota.issuers.leave())
         await self._linger(grace)
         logs.event('host_stopped', cut_off=self._in_service())
 
--- a/jacinthfold/gateway/settings.py
+++ b/jacinthfold/gateway/settings.py
@@ -98,6 +98,32 @@
             '10',
         ),
     },
+    'organisations': {
+        'revocation_ms': Option(
+            number(0, 600000),
+            'milliseconds from 0 to 600000',
+            'no key runs this long after it was taken away; 0: no such bound',
+            '0',
+        ),
+        'window_seconds': Option(
+            number(1, 600),
+            'seconds from 1 to 600',
+            'length of the sliding window in which caps are counted',
+            '8',
+        ),
+        'excess_ratio': Option(
+            number(0, 10),
+            'a number from 0 to 10',
+            'what may run in a window beyond a cap, as a share of it',
+            '0',
+        ),
+        'slack': Option(
+            number(0, 1000000000),
+            'a number from 0 to 1000000000',
+            'what may run in a window beyond that, in units of the cap',
+            '0',
+        ),
+    },
     'stop': {
         'grace_seconds': Option(
             number(1, 600),
@@ -116,6 +142,7 @@
         'data_centres',
         'host',
         'listen',
+        'organisations',
         'peers',
         'retries',
         'stop',
@@ -132,6 +159,7 @@
         self.store = sections['store']
         self.retries = sections['retries']
         self.stop = sections['stop']
+        self.organisations = sections['organisations']
         self.data_centres = data_centres
 
 
--- /dev/null
+++ b/jacinthfold/organisations/__init__.py
@@ -0,0 +1,1 @@
+"""Know the organisations that call, and which key belongs to whom."""
--- a/jacinthfold/placement/choice.py
+++ b/jacinthfold/placement/choice.py
@@ -79,8 +79,7 @@
         now = self._clock.monotonic()
         self._herd.note_sent(request.service_name, now)
         if target.cold_until > now:
-            service = self._targets.service(target.record.service)
-            self._pace.note_sent(target, service.cold_requests_per_second, now)
+            self._pace.note_sent(target, now)
         estimate = choice.estimate
         target.note_sent(request.facts.chain, estimate.unread_tokens)
         shared = request.facts.shared_chain
@@ -100,7 +99,7 @@
     def _best_here(
         self, request: Request, tried: Collection[str]
     ) -> Estimate | None:
-        if not request.route.allows(self._region):
+        if not request.allows(self._region):
             return None
         now = self._clock.monotonic()
         usable = self._usable(request.service_name, tried, now)
@@ -136,7 +135,7 @@
         # queues are short, and what another region could serve is lost.
         if not self._targets.service(request.service_name).is_engine:
             return True
-        if request.route.home_regions:
+        if request.is_bound:
             return False
         law = self._estimator.law(request.service_name)
         return law.reading_seconds(best.work) >= limits.LARGE_SECONDS
--- a/jacinthfold/placement/estimates.py
+++ b/jacinthfold/placement/estimates.py
@@ -92,7 +92,7 @@
     ) -> Estimate:
         """Return when a target's first event is expected."""
         service = self._targets.service(request.service_name)
-        wait = self.wait(target, now, is_urgent=request.route.is_urgent)
+        wait = self.wait(target, now, is_urgent=request.is_urgent)
         if not service.is_engine:
             return Estimate(target, wait, target.seconds_per_call)
         kept = target.kept.tokens(request.facts.chain, service.memory_tokens)
--- a/jacinthfold/placement/keeping.py
+++ b/jacinthfold/placement/keeping.py
@@ -40,7 +40,7 @@
     def _may_keep(self, request: Request, target: Target, now: float) -> bool:
         record = target.record
         return (
-            request.route.allows(self._targets.region_of(record.data_centre))
+            request.allows(self._targets.region_of(record.data_centre))
             and target.last_resort_until is None
             and target.cold_until <= now
             and record.data_centre not in self._targets.evacuated
--- a/jacinthfold/placement/law.py
+++ b/jacinthfold/placement/law.py
@@ -131,6 +131,14 @@
         waiting = max(0, requests + 1 - slots)
         return waiting * self.hold_seconds / slots
 
+    def fields(self) -> dict[str, float]:
+        """Return what was learned, for logs and state."""
+        return {
+            'tokens_per_ms': round(0.001 / self.seconds_per_token, 1),
+            'ms_per_million_pairs': round(self.seconds_per_pair * 1000, 3),
+            'first_event_ms': round(self.seconds * 1000, 1),
+        }
+
     def own_sums(self) -> list[float]:
         """Return the sums of this host's own answers, for others."""
         return self._own
--- a/jacinthfold/placement/pace.py
+++ b/jacinthfold/placement/pace.py
@@ -12,6 +12,10 @@
 from jacinthfold.placement import limits
 from jacinthfold.placement.target import Target
 
+# A host sends nothing to cold engines for so long after its start: until the
+# first heartbeats have come it knows few of those that start beside it, and of
+# 24 hosts ten took the same engine for their own.
+QUIET_SECONDS = 0.6
 # By then every host that started beside this one has been heard: the time
 # after which a silent host counts as gone.
 SETTLED_SECONDS = 2.0
@@ -26,12 +30,14 @@
 class ColdPace:
     """Decide whether this host may send to a cold target now."""
 
-    __slots__ = ('_hosts', '_own_name', '_settled_at')
+    __slots__ = ('_hosts', '_own_name', '_quiet_until', '_settled_at')
 
     def __init__(self, own_name: str, clock: Clock) -> None:
         """Take the own name; other hosts are heard of later."""
         self._own_name = own_name
-        self._settled_at = clock.monotonic() + SETTLED_SECONDS
+        now = clock.monotonic()
+        self._quiet_until = now + QUIET_SECONDS
+        self._settled_at = now + SETTLED_SECONDS
         self._hosts: tuple[str, ...] = (own_name,)
 
     @property
@@ -45,13 +51,18 @@
 
     def allows(self, target: Target, per_second: float, now: float) -> bool:
         """Tell whether a request may be sent to a cold target now."""
-        if now < target.paced_until or per_second <= 0:
+        if now < self._quiet_until or per_second <= 0:
+            return False
+        if now < target.paced_at + self._pause_seconds(per_second, now):
             return False
         return rank(target.record.instance, self._hosts)[0] == self._own_name
 
-    def note_sent(self, target: Target, per_second: float, now: float) -> None:
+    def note_sent(self, target: Target, now: float) -> None:
         """Take that a request was sent to a cold target."""
+        target.paced_at = now
+
+    def _pause_seconds(self, per_second: float, now: float) -> float:
         share = limits.COLD_PACE_SHARE
         if now < self._settled_at:
             share *= UNSETTLED_SHARE
-        target.paced_until = now + _SECOND / (per_second * share)
+        return _SECOND / (per_second * share)
--- a/jacinthfold/placement/regions.py
+++ b/jacinthfold/placement/regions.py
@@ -93,7 +93,7 @@
         found = [
             self._remote(request, name, hosts)
             for name, hosts in self._heard().items()
-            if name not in tried_regions and request.route.allows(name)
+            if name not in tried_regions and request.allows(name)
         ]
         return min(
             (one for one in found if one is not None),
@@ -130,7 +130,7 @@
         ]
         if not serving:
             return None
-        rank = 1 if request.route.is_urgent else 0
+        rank = 1 if request.is_urgent else 0
         waits = [self._reports[host].waits[service][rank] for host in serving]
         count = max(
             self._reports[host].target_counts.get(service, 1)
--- a/jacinthfold/placement/target.py
+++ b/jacinthfold/placement/target.py
@@ -58,7 +58,7 @@
         'last_resort_until',
         'own',
         'own_read_tokens',
-        'paced_until',
+        'paced_at',
         'record',
         'reported',
         'seconds_per_call',
@@ -72,7 +72,8 @@
         self.own_read_tokens = 0.0
         self.reported: dict[str, tuple[float, Load]] = {}
         self.cold_until = 0.0
-        self.paced_until = 0.0
+        # When this host last sent something here while the target was cold.
+        self.paced_at = float('-inf')
         self.ejected_until = 0.0
         self.unreachable_until = 0.0
         # When any answer of the target last brought something here.
--- a/jacinthfold/placement/targets.py
+++ b/jacinthfold/placement/targets.py
@@ -217,7 +217,7 @@
         if earlier is not None:
             # Nothing else of the earlier life holds. Its pace does: the bound
             # on a cold target counts requests to the instance.
-            target.paced_until = earlier.paced_until
+            target.paced_at = earlier.paced_at
             self._ended.append(earlier)
         self._targets[record.instance] = target
         self._index()
--- a/jacinthfold/platform/dialect.py
+++ b/jacinthfold/platform/dialect.py
@@ -1,5 +1,6 @@
 """Translate the platform's headers."""
 
+from jacinthfold.organisations.credentials import bearer_digest
 from jacinthfold.proxy.messages import (
     AnswerFacts,
     Headers,
@@ -23,6 +24,7 @@
 COPY_FROM = b'Kv-Fetch'
 RETRY_AFTER = b'Retry-After'
 CREDENTIALS = b'Authorization'
+ORGANISATION = b'Tenant'
 
 # Headers of a request that only this system may set: what a caller sends
 # under these names is dropped.
@@ -38,6 +40,8 @@
         b'expect-version',
     )
 )
+# Where callers have keys, neither comes from them to a target.
+CREDENTIAL_HEADERS = frozenset((CREDENTIALS.lower(), ORGANISATION.lower()))
 REPLACED_HEADERS = SYSTEM_HEADERS | {DEADLINE.lower(), LAST_EVENT_ID.lower()}
 # Urgency 0 is first, 9 last; routes rank from 0.
 PRIORITY_LIMIT = 9
@@ -56,6 +60,7 @@
             _text(headers, REQUEST_ID), host.rsplit(':', 1)[0].lower()
         )
         facts.caller = _text(headers, CREDENTIALS)
+        facts.key_digest = bearer_digest(_all(headers, CREDENTIALS))
         deadline_ms = _text(headers, DEADLINE)
         if deadline_ms:
             facts.patience_seconds = float(deadline_ms) / _MS
@@ -99,11 +104,21 @@
             headers.append((LAST_EVENT_ID, last_event_id.encode()))
         if instance:
             headers.append((INSTANCE, instance.encode()))
+        if request.organisation is not None:
+            headers.append((ORGANISATION, request.organisation.name.encode()))
         if request.route.is_stream:
-            rank = min(request.route.priority, PRIORITY_LIMIT)
+            rank = min(request.priority, PRIORITY_LIMIT)
             headers.append((PRIORITY, str(rank).encode()))
         return headers
 
+    def without_credentials(self, headers: Headers) -> Headers:
+        """Return headers that neither hold a key nor say who calls."""
+        return [
+            (name, content)
+            for name, content in headers
+            if name.lower() not in CREDENTIAL_HEADERS
+        ]
+
     def copy_headers(self, address: tuple[str, int]) -> Headers:
         """Return headers that have a target copy what another has read."""
         host, port = address
@@ -124,6 +139,11 @@
     return first_header(headers, name.lower()).decode('latin-1').strip()
 
 
+def _all(headers: Headers, name: bytes) -> list[bytes]:
+    lowered = name.lower()
+    return [content for found, content in headers if found.lower() == lowered]
+
+
 def _parts(content: str) -> tuple[PromptPart, ...]:
     parts = []
     for entry in content.split(','):
--- a/jacinthfold/platform/documents.py
+++ b/jacinthfold/platform/documents.py
@@ -13,13 +13,21 @@
 )
 from jacinthfold.catalogue.records import Kind, UnreadableRecordError
 from jacinthfold.platform import entries
+from jacinthfold.platform.organisations import read_organisations
 
 ROUTES_KEY = 'op/config'
 EVACUATION_PREFIX = 'op/evacuate/'
 TARGET_PREFIX = 'servers/'
 HOST_PREFIX = 'hosts/'
 QUARANTINE_PREFIX = 'quarantine/'
-LISTED_PREFIXES = ('op/', TARGET_PREFIX, HOST_PREFIX, QUARANTINE_PREFIX)
+ISSUER_PREFIX = 'issuers/'
+LISTED_PREFIXES = (
+    'op/',
+    TARGET_PREFIX,
+    HOST_PREFIX,
+    QUARANTINE_PREFIX,
+    ISSUER_PREFIX,
+)
 # What reading a document of other shapes than expected may raise.
 MALFORMED_ERRORS = (
     ValueError,
@@ -46,6 +54,7 @@
             (TARGET_PREFIX, Kind.TARGET),
             (HOST_PREFIX, Kind.HOST),
             (QUARANTINE_PREFIX, Kind.QUARANTINE),
+            (ISSUER_PREFIX, Kind.ISSUER),
         ):
             if key.startswith(prefix):
                 return kind, key.removeprefix(prefix)
@@ -69,7 +78,10 @@
     }
     routes = tuple(_read_route(entry) for entry in document['routes'])
     limits = _read_limits(document.get('limits') or {})
-    return RouteTable(int(document['version']), routes, services, limits)
+    organisations = read_organisations(document.get('tenants'))
+    return RouteTable(
+        int(document['version']), routes, services, limits, organisations
+    )
 
 
 def _read_route(entry: dict[str, Any]) -> Route:
@@ -81,6 +93,7 @@
         entry['name'], entry['hostname'].lower(), entry['prefix'], services
     )
     kind = entry['route-type']
+    route.is_public = bool(entry.get('public'))
     route.is_stream = kind == 'stream'
     route.repetition = _repetition(kind, entry)
     route.timeout_seconds = entry['timeout-ms'] / _MS
--- /dev/null
+++ b/jacinthfold/platform/organisations.py
@@ -0,0 +1,68 @@
+"""Decode what operators write of organisations."""
+
+import msgspec
+
+from jacinthfold.organisations.credentials import KEY_LIMIT_BYTES, digest_of
+from jacinthfold.organisations.model import (
+    Cap,
+    Organisation,
+    OrganisationTable,
+)
+
+# Hosts add these up over windows of seconds; figures beyond are a mistake.
+RATE_LIMIT = 10**15
+PRIORITY_LIMIT = 1000
+NAME_LIMIT = 200
+_TOKENS = 'tokens'
+
+
+class _Entry(msgspec.Struct, rename='kebab'):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    unit: str = ''
+    # What a request counts that names no tokens.
+    uncached_tokens: int = 0
+    rate_per_s: float = 0
+    burst: float = 0
+    allowed_regions: list[str] = []
+
+
+def read_organisations(document: object) -> OrganisationTable:
+    """Return the organisations of a configuration; raise ValueError."""
+    entries = msgspec.convert(document or [], list[_Entry])
+    return OrganisationTable(_organisation(entry) for entry in entries)
+
+
+def _organisation(entry: _Entry) -> Organisation:
+    if not 0 < len(entry.name) <= NAME_LIMIT or not entry.name.isprintable():
+        raise ValueError(f'no name for an organisation: {entry.name[:20]!r}')
+    keys = [key.encode() for key in entry.api_keys]
+    if any(not 0 < len(key) <= KEY_LIMIT_BYTES for key in keys):
+        raise ValueError(f'{entry.name}: a key without content, or too long')
+    found = Organisation(entry.name, map(digest_of, keys))
+    if entry.priority is not None:
+        _check(entry.name, 'priority', entry.priority, PRIORITY_LIMIT)
+    found.priority = entry.priority
+    found.home_regions = frozenset(entry.allowed_regions)
+    found.cap = _cap(entry)
+    return found
+
+
+def _cap(entry: _Entry) -> Cap | None:
+    _check(entry.name, 'rate-per-s', entry.rate_per_s, RATE_LIMIT)
+    _check(entry.name, 'burst', entry.burst, RATE_LIMIT)
+    _check(entry.name, 'uncached-tokens', entry.uncached_tokens, RATE_LIMIT)
+    if not entry.rate_per_s:
+        return None
+    return Cap(
+        entry.rate_per_s,
+        entry.burst,
+        counts_tokens=entry.unit == _TOKENS,
+        plain_tokens=entry.uncached_tokens,
+    )
+
+
+def _check(name: str, field: str, found: float, most: float) -> None:
+    if not 0 <= found <= most:
+        raise ValueError(f'{name}: {field} out of range')
--- a/jacinthfold/platform/store.py
+++ b/jacinthfold/platform/store.py
@@ -18,8 +18,10 @@
 from jacinthfold.catalogue.records import Record
 from jacinthfold.platform.documents import (
     HOST_PREFIX,
+    ISSUER_PREFIX,
     LISTED_PREFIXES,
     QUARANTINE_PREFIX,
+    ROUTES_KEY,
 )
 from jacinthfold.proxy.errors import ProxyError
 from jacinthfold.proxy.http_call import CallAnswer, HttpCaller
@@ -67,6 +69,13 @@
         records = [_record(event) for event in document['events']]
         return records, max(revision, document['store-revision'])
 
+    async def current_revision(self) -> int:
+        """Return the store's revision, read and not from memory."""
+        # Nothing lies behind this key: the answer is small.
+        query = {'prefix': ROUTES_KEY, 'after': ROUTES_KEY}
+        document = await self._get('/api/kv-range', query, CALL_SECONDS)
+        return int(document['store-revision'])
+
     async def grant_lease(self, seconds: float) -> int:
         """Return a new lease that ends unless it is renewed."""
         body = {'ttl-ms': int(seconds * _MS)}
@@ -87,6 +96,17 @@
         body = {'expected-rev': [], 'puts': [put], 'remove': []}
         await self._call('POST', '/api/kv-txn', body)
 
+    async def claim(
+        self, name: str, content: bytes, *, after: int, lease: int
+    ) -> int:
+        """Write an issuer's record in place of a revision, 0 for none."""
+        key = f'{ISSUER_PREFIX}{name}'
+        expected = [{'key': key, 'revision': after}]
+        puts = [_put(key, content, lease)]
+        body = {'expected-rev': expected, 'puts': puts, 'remove': []}
+        document = await self._call('POST', '/api/kv-txn', body)
+        return int(document['revision'])
+
     async def write_quarantine(
         self, contents: Mapping[str, bytes], lease: int
     ) -> None:
--- /dev/null
+++ b/jacinthfold/proxy/admission.py
@@ -0,0 +1,115 @@
+"""Look at key, cap and quarantine before each send of a request."""
+
+from functools import partial
+from http import HTTPStatus
+
+from jacinthfold import logs
+from jacinthfold.proxy import request_log
+from jacinthfold.proxy.key_gate import Barrier, KeyGate
+from jacinthfold.proxy.messages import Request
+from jacinthfold.proxy.metrics import ProxyMetrics
+from jacinthfold.proxy.progress import Progress
+from jacinthfold.quarantine.quarantine import Quarantine
+from jacinthfold.quota.permits import OverCap, Permit, Permits
+
+# Hosts that know the store's state are named by the directory; a caller that
+# asks it again has one within this.
+STALE_RETURN_SECONDS = 0.3
+
+
+class Admission:
+    """Decide whether a request may be sent now."""
+
+    def __init__(
+        self,
+        gate: KeyGate,
+        quarantine: Quarantine,
+        permits: Permits,
+        metrics: ProxyMetrics,
+    ) -> None:
+        """Take who knows keys, bad requests and caps."""
+        self.gate = gate
+        self._quarantine = quarantine
+        self._permits = permits
+        self._metrics = metrics
+
+    def begin(self, request: Request) -> Progress:
+        """Return the progress of a request that may not outlive its key."""
+        progress = Progress(request)
+        progress.barrier_reason = partial(self._barrier_reason, request)
+        return progress
+
+    def is_barred(self, request: Request, progress: Progress) -> bool:
+        """Tell whether a request is refused whatever room there is."""
+        barrier = self.gate.barrier(request)
+        if barrier is not None:
+            self._note_barrier(request, progress, barrier)
+            return True
+        # One that ends targets comes again under another identifier, at any
+        # host. Before each send: since the last attempt other hosts may have
+        # seen more of them end.
+        refusal = self._quarantine.refusal(request)
+        if refusal is None:
+            return False
+        progress.note_quarantined(refusal.seconds)
+        self._metrics.quarantined.labels(request.service_name).inc()
+        request_log.log_quarantined(request, refusal)
+        return True
+
+    async def is_permitted(self, request: Request, progress: Progress) -> bool:
+        """Tell whether the organisation's cap has room for another run."""
+        organisation = request.organisation
+        if organisation is None or organisation.cap is None:
+            return True
+        is_paid = request.is_paid and not progress.runs
+        if is_paid or self._permits.is_valid(progress.permit):
+            return True
+        facts = request.facts
+        cost = organisation.cap.cost(facts.prompt_tokens, facts.output_tokens)
+        answer = await self._permits.acquire(organisation.name, cost)
+        if isinstance(answer, Permit):
+            progress.permit = answer
+            return True
+        is_over = isinstance(answer, OverCap)
+        reason = 'over_cap' if is_over else 'no_pool'
+        status = (
+            HTTPStatus.TOO_MANY_REQUESTS
+            if is_over
+            else HTTPStatus.SERVICE_UNAVAILABLE
+        )
+        progress.note_turned_away(reason, status, answer.after_seconds)
+        self._metrics.turned_away.labels(reason).inc()
+        logs.event(
+            'request_turned_away',
+            request=request.facts.request_id,
+            organisation=organisation.name,
+            reason=reason,
+            cost=cost,
+            cap_per_second=organisation.cap.per_second,
+            after_seconds=answer.after_seconds,
+        )
+        return False
+
+    def settle(self, progress: Progress) -> None:
+        """Return a permit that no run used."""
+        if not progress.is_out:
+            self._permits.give_back(progress.permit)
+
+    def _barrier_reason(self, request: Request) -> str:
+        barrier = self.gate.barrier(request)
+        return barrier.value if barrier else ''
+
+    def _note_barrier(
+        self, request: Request, progress: Progress, barrier: Barrier
+    ) -> None:
+        status = HTTPStatus.SERVICE_UNAVAILABLE
+        if barrier is Barrier.REVOKED and not request.is_relayed:
+            status = HTTPStatus.UNAUTHORIZED
+        progress.note_turned_away(barrier.value, status, STALE_RETURN_SECONDS)
+        self._metrics.turned_away.labels(barrier.value).inc()
+        logs.event(
+            'request_turned_away',
+            request=request.facts.request_id,
+            reason=barrier.value,
+            knowledge_age_seconds=self.gate.age_seconds,
+        )
--- a/jacinthfold/proxy/attempts.py
+++ b/jacinthfold/proxy/attempts.py
@@ -127,7 +127,10 @@
         headers = relay_header.without_internal(headers)
         headers.extend(
             relay_header.write(
-                request, request.deadline - now, now - request.received_at
+                request,
+                request.deadline - now,
+                now - request.received_at,
+                is_paid=progress.permit is not None,
             )
         )
         patience = self._patience(
@@ -207,6 +210,10 @@
         headers: Headers,
         delivery: Delivery,
     ) -> Outcome:
+        reason = delivery.barrier_reason
+        if reason:
+            # The wait for a connection may have been long.
+            return Outcome(Ending.NOT_RUN, reason, is_barred=True)
         # From here on nobody can say that the request has not run, whatever
         # ends this attempt: a deadline or the caller's leaving too.
         delivery.note_leaves()
@@ -259,6 +266,8 @@
                     seconds - target.seconds_per_call
                 )
             return
+        if outcome.is_barred:
+            return
         if outcome.reason == 'wrong_instance':
             target.last_resort_until = now
         is_unreachable = outcome.reason.startswith('unreachable')
--- a/jacinthfold/proxy/delivery.py
+++ b/jacinthfold/proxy/delivery.py
@@ -52,6 +52,11 @@
         self.on_first_event: Callable[[], None] | None = None
         self.on_heard: Callable[[], None] = _nothing
 
+    @property
+    def barrier_reason(self) -> str:
+        """Return why the request may not be sent now, nothing if it may."""
+        return self._progress.barrier_reason()
+
     def note_leaves(self) -> None:
         """Take that the request's first byte is about to leave."""
         self._progress.is_out = True
--- a/jacinthfold/proxy/dialect.py
+++ b/jacinthfold/proxy/dialect.py
@@ -29,6 +29,9 @@
     ) -> Headers:
         """Return headers for a target, without framing."""
 
+    def without_credentials(self, headers: Headers) -> Headers:
+        """Return headers that neither hold a key nor say who calls."""
+
     def copy_headers(self, address: tuple[str, int]) -> Headers:
         """Return headers that have a target copy what another has read."""
 
--- a/jacinthfold/proxy/forwarding.py
+++ b/jacinthfold/proxy/forwarding.py
@@ -10,6 +10,7 @@
 from jacinthfold.placement.choice import Placer
 from jacinthfold.placement.decision import Choice, PassTo, Refuse, SendTo
 from jacinthfold.proxy import request_log
+from jacinthfold.proxy.admission import Admission
 from jacinthfold.proxy.attempts import Attempts
 from jacinthfold.proxy.caller_answer import CallerAnswer
 from jacinthfold.proxy.dialect import Dialect
@@ -44,6 +45,7 @@
         attempts: Attempts,
         budgets: RetryBudgets,
         quarantine: Quarantine,
+        admission: Admission,
         dialect: Dialect,
         metrics: ProxyMetrics,
         clock: Clock,
@@ -53,13 +55,14 @@
         self._attempts = attempts
         self._budgets = budgets
         self._quarantine = quarantine
+        self._admission = admission
         self._dialect = dialect
         self._metrics = metrics
         self._clock = clock
 
     async def serve(self, request: Request, answer: CallerAnswer) -> None:
         """Answer a request; leave the answer open if it broke midway."""
-        progress = Progress(request)
+        progress = self._admission.begin(request)
         left = request.deadline - self._clock.monotonic()
         try:
             async with asyncio.timeout(max(0.0, left)):
@@ -68,6 +71,7 @@
             progress.reason = 'deadline'
             await self._give_up(request, answer, progress)
         finally:
+            self._admission.settle(progress)
             self._log_end(request, answer, progress)
 
     async def _carry(
@@ -75,28 +79,29 @@
     ) -> None:
         goes_on = True
         while goes_on:
-            # One that ends targets comes again under another identifier, at
-            # any host. Before each send: since the last attempt other hosts
-            # may have seen more of them end.
-            refusal = self._quarantine.refusal(request)
-            if refusal is not None:
-                progress.note_quarantined(refusal.seconds)
-                self._metrics.quarantined.labels(request.service_name).inc()
-                request_log.log_quarantined(request, refusal)
-                break
-            choice = self._placer.choose(
-                request, progress.tried, progress.tried_regions
-            )
-            if isinstance(choice, Refuse):
-                request_log.log_refusal(request, choice)
-                progress.note_refused(choice)
-                break
-            if not self._may_send(request, progress):
-                break
-            goes_on = await self._try_once(request, answer, progress, choice)
+            goes_on = await self._step(request, answer, progress)
         if progress.ending is not Ending.DELIVERED:
             await self._give_up(request, answer, progress)
 
+    async def _step(
+        self, request: Request, answer: CallerAnswer, progress: Progress
+    ) -> bool:
+        """Decide, and make one attempt; tell whether another may follow."""
+        if self._admission.is_barred(request, progress):
+            return False
+        choice = self._placer.choose(
+            request, progress.tried, progress.tried_regions
+        )
+        if isinstance(choice, Refuse):
+            request_log.log_refusal(request, choice)
+            progress.note_refused(choice)
+            return False
+        if not self._may_send(request, progress):
+            return False
+        if not await self._admission.is_permitted(request, progress):
+            return False
+        return await self._try_once(request, answer, progress, choice)
+
     async def _try_once(
         self,
         request: Request,
@@ -195,8 +200,11 @@
             return
         left = request.deadline - self._clock.monotonic()
         after = min(progress.after_seconds, max(0.05, left * RETURN_SHARE))
-        headers = [*own, *self._dialect.retry_headers(after)]
-        await answer.whole(HTTPStatus.SERVICE_UNAVAILABLE, headers, b'')
+        status = progress.refusal_status
+        headers = list(own)
+        if status is not HTTPStatus.UNAUTHORIZED:
+            headers += self._dialect.retry_headers(after)
+        await answer.whole(status, headers, b'')
 
     async def _refuse_quarantined(
         self, answer: CallerAnswer, progress: Progress, own: Headers
--- a/jacinthfold/proxy/http_call.py
+++ b/jacinthfold/proxy/http_call.py
@@ -53,6 +53,9 @@
     ) -> Headers:
         return []
 
+    def without_credentials(self, headers: Headers) -> Headers:
+        return headers
+
     def copy_headers(self, address: tuple[str, int]) -> Headers:
         return []
 
--- a/jacinthfold/proxy/messages.py
+++ b/jacinthfold/proxy/messages.py
@@ -1,6 +1,7 @@
 """Hold requests and answers while they pass through."""
 
 from jacinthfold.catalogue.model import Route
+from jacinthfold.organisations.model import Organisation
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -50,6 +51,7 @@
         '_chain',
         'caller',
         'host_name',
+        'key_digest',
         'last_event_id',
         'output_tokens',
         'parts',
@@ -65,6 +67,8 @@
         # What the caller proves to be by; empty where callers prove nothing
         # and the host name alone says for whom they call.
         self.caller = ''
+        # Of the key that the caller sent, None without a readable one.
+        self.key_digest: bytes | None = None
         # How long the caller will wait; None when it does not say.
         self.patience_seconds: float | None = None
         self.prompt_tokens = 0
@@ -102,8 +106,10 @@
         'deadline',
         'facts',
         'headers',
+        'is_paid',
         'is_relayed',
         'method',
+        'organisation',
         'path',
         'received_at',
         'route',
@@ -130,9 +136,50 @@
         self.deadline = 0.0
         self.route = Route('', '', '', (('', 1),))
         self.service_name = ''
+        # Who calls; None on public routes and where callers have no keys.
+        self.organisation: Organisation | None = None
         # A request that another entry host passed on is served here or not
         # at all: passed on again, two full regions would play ball with it.
         self.is_relayed = False
+        # Whether the host that passed it on has a permit for its one run.
+        self.is_paid = False
+
+    @property
+    def priority(self) -> int:
+        """Return the rank by which targets serve it, 0 first."""
+        organisation = self.organisation
+        if organisation is None or organisation.priority is None:
+            return self.route.priority
+        return organisation.priority
+
+    @property
+    def is_urgent(self) -> bool:
+        """Tell whether targets serve it before others."""
+        return self.priority == 0
+
+    @property
+    def is_bound(self) -> bool:
+        """Tell whether only some regions may serve it."""
+        return bool(self.route.home_regions or self._organisation_homes)
+
+    @property
+    def home_regions(self) -> frozenset[str]:
+        """Return the regions that both route and organisation allow.
+
+        Empty where neither is bound, and where no region suits both.
+        """
+        homes, own = self.route.home_regions, self._organisation_homes
+        return homes & own if homes and own else homes or own
+
+    def allows(self, region: str) -> bool:
+        """Tell whether a region may serve it: route and organisation do."""
+        return not self.is_bound or region in self.home_regions
+
+    @property
+    def _organisation_homes(self) -> frozenset[str]:
+        if self.organisation is None:
+            return frozenset()
+        return self.organisation.home_regions
 
 
 class AnswerFacts:
--- a/jacinthfold/proxy/metrics.py
+++ b/jacinthfold/proxy/metrics.py
@@ -52,6 +52,27 @@
             ['service'],
             registry=self.registry,
         )
+        self.turned_away = Counter(
+            'jacinthfold_gateway_requests_turned_away_total',
+            'Requests that key or cap did not let run, by reason',
+            ['reason'],
+            registry=self.registry,
+        )
+        self.knowledge_age = Gauge(
+            'jacinthfold_gateway_knowledge_age_seconds',
+            'How old the knowledge of keys may be',
+            registry=self.registry,
+        )
+        self.shares_held = Gauge(
+            'jacinthfold_gateway_cap_shares_held',
+            'Shares of caps that this host may spend, added up',
+            registry=self.registry,
+        )
+        self.parts_issued = Gauge(
+            'jacinthfold_gateway_cap_parts_issued',
+            'Parts of the organisations whose shares this host lends',
+            registry=self.registry,
+        )
         self.in_flight = Gauge(
             'jacinthfold_gateway_requests_in_flight',
             'Requests being served',
--- a/jacinthfold/proxy/outcome.py
+++ b/jacinthfold/proxy/outcome.py
@@ -20,7 +20,14 @@
 class Outcome:
     """Hold the ending of an attempt and what came of it."""
 
-    __slots__ = ('after_seconds', 'body', 'ending', 'head', 'reason')
+    __slots__ = (
+        'after_seconds',
+        'body',
+        'ending',
+        'head',
+        'is_barred',
+        'reason',
+    )
 
     def __init__(
         self,
@@ -30,6 +37,7 @@
         head: AnswerHead | None = None,
         body: bytes = b'',
         after_seconds: float | None = None,
+        is_barred: bool = False,
     ) -> None:
         """Take the ending, why, and the failed answer if there is one."""
         self.ending = ending
@@ -38,6 +46,8 @@
         self.body = body
         # When a peer that refused says that a return may meet room.
         self.after_seconds = after_seconds
+        # Not sent, for a reason that says nothing of the target.
+        self.is_barred = is_barred
 
 
 def told_outcome(head: AnswerHead, *, is_peer: bool) -> Outcome | None:
--- a/jacinthfold/proxy/progress.py
+++ b/jacinthfold/proxy/progress.py
@@ -1,8 +1,12 @@
 """Hold what has happened to a request so far."""
 
+from collections.abc import Callable
+from http import HTTPStatus
+
 from jacinthfold.placement.decision import Choice, PassTo, Refuse, SendTo
 from jacinthfold.proxy.messages import Request
 from jacinthfold.proxy.outcome import Ending, Outcome
+from jacinthfold.quota.permits import Permit
 
 DEFAULT_RETURN_SECONDS = 0.5
 # The reason of a refusal because targets ended under the request.
@@ -14,13 +18,16 @@
 
     __slots__ = (
         'after_seconds',
+        'barrier_reason',
         'ending',
         'failed',
         'first_seconds',
         'is_out',
         'last_event_id',
         'last_place',
+        'permit',
         'reason',
+        'refusal_status',
         'runs',
         'sends',
         'tried',
@@ -45,6 +52,12 @@
         self.ending: Ending | None = None
         self.failed: Outcome | None = None
         self.after_seconds = DEFAULT_RETURN_SECONDS
+        # Of an answer that says that the request has not run.
+        self.refusal_status = HTTPStatus.SERVICE_UNAVAILABLE
+        # Says why the request may not be sent now, nothing while it may.
+        self.barrier_reason: Callable[[], str] = _no_reason
+        # Allows one run; None where none is needed or it was used.
+        self.permit: Permit | None = None
 
     @property
     def may_have_run(self) -> bool:
@@ -56,6 +69,14 @@
         self.reason = self.reason or refusal.reason
         self.after_seconds = refusal.after_seconds
 
+    def note_turned_away(
+        self, reason: str, status: HTTPStatus, after_seconds: float
+    ) -> None:
+        """Take that key or cap don't let the request be sent."""
+        self.reason = reason
+        self.refusal_status = status
+        self.after_seconds = after_seconds
+
     @property
     def is_quarantined(self) -> bool:
         """Tell whether the request is refused for what it did to targets."""
@@ -83,6 +104,11 @@
         if outcome.ending is Ending.NOT_RUN:
             self.turned_down += 1
             return
+        self.permit = None
         self.runs += 1
         if outcome.ending is Ending.FAILED:
             self.failed = outcome
+
+
+def _no_reason() -> str:
+    return ''
--- a/jacinthfold/proxy/relay_header.py
+++ b/jacinthfold/proxy/relay_header.py
@@ -42,9 +42,16 @@
 
 
 def write(
-    request: Request, left_seconds: float, elapsed_seconds: float
+    request: Request,
+    left_seconds: float,
+    elapsed_seconds: float,
+    *,
+    is_paid: bool = False,
 ) -> Headers:
-    """Return the header that passes a request's route to another host."""
+    """Return the header that passes a request's route to another host.
+
+    A paid request was permitted under its organisation's cap, for one run.
+    """
     route = request.route
     # The receiver may hold an older configuration: it goes by ours.
     document = {
@@ -57,16 +64,23 @@
         # The sender can't see how many targets ran the request there. With
         # one each, its own count is the whole count.
         'max_attempts': 1,
-        'homes': sorted(route.home_regions),
+        'homes': sorted(request.home_regions),
         'left_seconds': round(left_seconds, 3),
         'elapsed_seconds': round(elapsed_seconds, 3),
     }
+    if request.organisation is not None:
+        # The name, never the key: the other host looks it up by itself.
+        document['organisation'] = request.organisation.name
+        document['paid'] = is_paid
     content = json.dumps(document, separators=(',', ':')).encode()
     return [(REQUEST_HEADER, content)]
 
 
-def read(request: Request, now: float) -> None:
-    """Take the route that another host wrote; raise ValueError."""
+def read(request: Request, now: float) -> str:
+    """Take the route that another host wrote; raise ValueError.
+
+    Return the name of the organisation that it let in, or nothing.
+    """
     content = first_header(request.headers, REQUEST_HEADER)
     if not content:
         raise ValueError('not passed on by an entry host')
@@ -85,3 +99,5 @@
     request.is_relayed = True
     request.received_at = now - document['elapsed_seconds']
     request.deadline = now + document['left_seconds']
+    request.is_paid = bool(document.get('paid'))
+    return str(document.get('organisation', ''))
--- a/jacinthfold/proxy/unread.py
+++ b/jacinthfold/proxy/unread.py
@@ -16,7 +16,7 @@
         self._held = facts.prompt_tokens + facts.output_tokens
         target.own.requests += 1
         target.own.unread_tokens += self._unread
-        self._urgent = self._unread if request.route.is_urgent else 0
+        self._urgent = self._unread if request.is_urgent else 0
         target.own.urgent_tokens += self._urgent
         target.own.held_tokens += self._held
 
--- /dev/null
+++ b/jacinthfold/quota/bounds.py
@@ -0,0 +1,51 @@
+"""Work out how fast a cap may be spent so that no window holds too much."""
+
+from jacinthfold.organisations.model import Cap
+
+# From the grant of a permit until its request has reached a target. Permits
+# that are not used by then lapse.
+PERMIT_SECONDS = 0.5
+# How long a lent share may be spent unless it is lent again.
+SHARE_SECONDS = 3.0
+# Kept back for clocks that tick apart and requests that arrive late.
+SAFE_SHARE = 0.96
+# Of what a window may hold beyond the steady rate, the part that buckets hold.
+# The rest is lent by an issuer that has just begun and does not know yet what
+# is still held from before.
+BURST_SHARE = 0.6
+# A steady rate may use this much of what a window holds where it allows no
+# burst.
+STEADY_SHARE = 0.9
+# An issuer's first extra shares live until it knows all holders, and then for
+# as long as a holder that hears nothing goes on.
+_EXTRA_SECONDS = 2 * SHARE_SECONDS
+
+
+class Window:
+    """Hold how what runs is counted."""
+
+    __slots__ = ('excess', 'seconds', 'slack')
+
+    def __init__(self, seconds: float, excess: float, slack: float) -> None:
+        """Take the window, the excess as a share, and the slack in units."""
+        self.seconds = seconds
+        self.excess = excess
+        self.slack = slack
+
+
+class Pace:
+    """Hold rate and burst of a whole cap, and what may be lent on top."""
+
+    __slots__ = ('burst', 'extra_share', 'per_second')
+
+    def __init__(self, cap: Cap, window: Window) -> None:
+        """Work them out from a cap and the window that it is counted by."""
+        most = cap.per_second * window.seconds + cap.burst
+        most = (most * (1 + window.excess) + window.slack) * SAFE_SHARE
+        span_seconds = window.seconds + PERMIT_SECONDS
+        steady = most * STEADY_SHARE / span_seconds
+        self.per_second = min(cap.per_second, steady)
+        beyond = most - self.per_second * span_seconds
+        self.burst = beyond * BURST_SHARE
+        lent = beyond - self.burst
+        self.extra_share = min(1.0, lent / self.per_second / _EXTRA_SECONDS)
--- /dev/null
+++ b/jacinthfold/quota/messages.py
@@ -0,0 +1,89 @@
+"""Write and read what hosts tell each other about caps."""
+
+import msgspec
+
+QUOTA_MARK = b'\x03'
+
+
+class PermitAsk(msgspec.Struct, array_like=True):
+    """Ask a pool to let a request through."""
+
+    number: int
+    organisation: str
+    cost: int
+
+
+class PermitAnswer(msgspec.Struct, array_like=True):
+    """Answer such a question: None to run, else milliseconds to a return."""
+
+    number: int
+    after_ms: int | None
+
+
+class ShareAsk(msgspec.Struct, array_like=True):
+    """Ask the issuer for a share; say what is held until its answer."""
+
+    organisation: str
+    number: int
+    held: float
+    wanted: float
+
+
+class ShareAnswer(msgspec.Struct, array_like=True):
+    """Lend a share in answer to a question."""
+
+    organisation: str
+    number: int
+    share: float
+
+
+class Returned(msgspec.Struct, array_like=True):
+    """Give a pool back what a request that did not run was granted."""
+
+    organisation: str
+    cost: int
+
+
+Message = PermitAsk | PermitAnswer | ShareAsk | ShareAnswer | Returned
+
+
+class QuotaDatagram(msgspec.Struct):
+    """Hold what one host tells another one at a time."""
+
+    sender: str
+    # The sender's incarnation.
+    life: int
+    permit_asks: list[PermitAsk] = []
+    permit_answers: list[PermitAnswer] = []
+    share_asks: list[ShareAsk] = []
+    share_answers: list[ShareAnswer] = []
+    returned: list[Returned] = []
+
+    def add(self, message: Message) -> None:
+        """Add a message of any kind."""
+        if isinstance(message, PermitAsk):
+            self.permit_asks.append(message)
+        elif isinstance(message, PermitAnswer):
+            self.permit_answers.append(message)
+        elif isinstance(message, ShareAsk):
+            self.share_asks.append(message)
+        elif isinstance(message, ShareAnswer):
+            self.share_answers.append(message)
+        else:
+            self.returned.append(message)
+
+
+_decoder = msgspec.msgpack.Decoder(QuotaDatagram)
+
+
+def encode(datagram: QuotaDatagram) -> bytes:
+    """Return a datagram's bytes."""
+    return QUOTA_MARK + msgspec.msgpack.encode(datagram)
+
+
+def decode(content: bytes) -> QuotaDatagram:
+    """Return a datagram; raise ValueError."""
+    try:
+        return _decoder.decode(content[len(QUOTA_MARK) :])
+    except RecursionError as error:
+        raise ValueError(str(error)) from error
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -43,6 +43,9 @@
     def monotonic(self):
         return self.seconds
 
+    def boottime(self):
+        return self.seconds
+
     def advance(self, seconds):
         self.seconds += seconds
 
--- a/tests/gateway/beating.py
+++ b/tests/gateway/beating.py
@@ -35,7 +35,7 @@
             self.scene.placer,
             fleet.clock,
         )
-        self.heartbeats._send = lambda content, place: fleet.carry(
+        self.heartbeats.send = lambda content, place: fleet.carry(
             record.name, content, place
         )
         self.due_at = fleet.clock.monotonic() + fleet.random.uniform(0, 0.2)
--- a/tests/gateway/test_heartbeat.py
+++ b/tests/gateway/test_heartbeat.py
@@ -39,7 +39,7 @@
             self.scene.clock,
         )
         self.sent = []
-        self.heartbeats._send = lambda content, place: self.sent.append(content)
+        self.heartbeats.send = lambda content, place: self.sent.append(content)
 
     def beat(self):
         self.sent.clear()
--- a/tests/gateway/test_rebirth.py
+++ b/tests/gateway/test_rebirth.py
@@ -75,9 +75,10 @@
     """
     scene = Scene()
     first = scene.add('i-1', born_ms=BORN, cold_seconds=3.0)
-    scene.pace.note_sent(first, 3.3, scene.clock.monotonic())
+    scene.pace.note_sent(first, scene.clock.monotonic())
+    assert first.paced_at == scene.clock.monotonic()
     again = scene.add('i-1', born_ms=BORN + 1, cold_seconds=3.0)
-    assert again.paced_until == first.paced_until
+    assert again.paced_at == first.paced_at
 
 
 def test_late_report_of_the_earlier_life_changes_nothing():
