--- a/tests/gateway/beating.py
+++ b/tests/gateway/beating.py
@@ -26,7 +26,7 @@
         self.scene = Scene(record.name, fleet.clock)
         self.hosts = HostTable(record, fleet.clock)
         self.hosts.own_state = HostState.ACTIVE
-        made, _ = catalogue()
+        made, _ = catalogue(fleet.clock)
         self.heartbeats = Heartbeats(
             self.hosts,
             made,
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -37,6 +37,11 @@
 [retries]
 ratio = 0.2
 slack = 100
+[organisations]
+revocation_ms = {revocation_ms}
+window_seconds = 8
+excess_ratio = 0.1
+slack = {cap_slack}
 [stop]
 grace_seconds = {grace_seconds}
 [data_centres]
@@ -138,7 +143,9 @@
         self.loop.close()
         self._ports.close()
 
-    def put_routes(self, *routes, services=('desk', 'model'), **limits):
+    def put_routes(
+        self, *routes, services=('desk', 'model'), tenants=(), **limits
+    ):
         """Write a configuration as the operator does."""
         self._version += 3
         document = {
@@ -153,6 +160,8 @@
                 **limits,
             },
         }
+        if tenants:
+            document['tenants'] = list(tenants)
         self.store.put('op/config', document)
         return self._version
 
@@ -195,7 +204,15 @@
         self.wait_ready(name)
         return host
 
-    def make_host(self, name, data_centre='north-1', grace_seconds=8, seeds=''):
+    def make_host(
+        self,
+        name,
+        data_centre='north-1',
+        grace_seconds=8,
+        seeds='',
+        revocation_ms=0,
+        cap_slack=0,
+    ):
         address = f'127.0.1.{len(self.hosts) + 1}'
         path = self.directory / f'{name}.ini'
         store = ':'.join(str(part) for part in self.store_address)
@@ -209,6 +226,8 @@
                 seeds=seeds,
                 store=store,
                 grace_seconds=grace_seconds,
+                revocation_ms=revocation_ms,
+                cap_slack=cap_slack,
             )
         )
         host = Host(
@@ -269,6 +288,22 @@
     }
 
 
+def tenant(name, *keys, **fields):
+    """Return an organisation of the configuration."""
+    return {
+        'name': name,
+        'api-keys': list(keys),
+        'unit': 'tokens',
+        'uncached-tokens': 200,
+        **fields,
+    }
+
+
+def bearer(key):
+    """Return the header that carries a key."""
+    return ('Authorization', f'Bearer {key}')
+
+
 def new_id():
     return f'req-{os.getpid()}-{next(_ids)}'
 
--- /dev/null
+++ b/tests/gateway/test_caps.py
@@ -0,0 +1,128 @@
+"""Caps through whole hosts: who is told what, and what outlives a crash."""
+
+import pytest
+
+from tests.gateway.deployment import (
+    bearer,
+    call,
+    pause,
+    route,
+    tenant,
+    wait_served,
+)
+from tests.gateway.target_standin import refuse, serve_plain
+from tools.fleet import wait_until
+
+CAPPED, FREE = 'a-capped-key', 'a-free-key'
+# Of 200 tokens a call, as many as a cap of 2,000 a second and a burst of
+# 2,000 let run in eight seconds with an excess of a tenth.
+MOST_CALLS = (2000 * 8 + 2000) * 1.1 / 200
+
+
+@pytest.fixture
+def desk(deployment):
+    """Give a target behind two hosts; one organisation has a cap."""
+    deployment.put_routes(
+        route('/order/'),
+        route('/open/', public=True),
+        tenants=[
+            tenant('capped', CAPPED, **{'rate-per-s': 2000, 'burst': 2000}),
+            tenant('free', FREE),
+        ],
+    )
+    deployment.add_target('i-1', 'desk')
+    for name in ('north-a', 'north-b'):
+        deployment.start_host(name, revocation_ms=60000)
+    for name in ('north-a', 'north-b'):
+        wait_served(deployment, name, '/open/x')
+        wait_until(lambda name=name: is_served(deployment, name), 'it is lent')
+    deployment.targets['i-1'].executed.clear()
+    return deployment
+
+
+def ask_with(deployment, name, key):
+    return deployment.ask(name, '/order/x', headers=[bearer(key)])
+
+
+def is_served(deployment, name):
+    return ask_with(deployment, name, CAPPED).status == 200
+
+
+def test_pressing_organisation_runs_no_more_than_its_cap_over_all_hosts(desk):
+    """An organisation asks far beyond its cap, at both hosts in turn.
+
+    What is over is refused at once with a time to come back, and has not run;
+    another organisation is served all the while.
+    """
+    statuses = []
+    for number in range(400):
+        answer = ask_with(desk, ('north-a', 'north-b')[number % 2], CAPPED)
+        statuses.append(answer.status)
+        if answer.status == 429:
+            assert float(answer.headers['retry-after']) > 0
+        if number % 20 == 0:
+            assert ask_with(desk, 'north-a', FREE).status == 200
+    ran = [
+        one
+        for one in desk.targets['i-1'].executed
+        if one.headers['tenant'] == 'capped'
+    ]
+    assert set(statuses) == {200, 429}
+    assert statuses.count(200) == len(ran)
+    # The calls may have taken up to two windows.
+    assert len(ran) <= 2 * MOST_CALLS
+
+
+def test_request_that_a_target_turned_down_costs_nothing(desk):
+    """Targets refuse for a while; the tokens are there when they recover."""
+    desk.targets['i-1'].script = refuse
+    for _ in range(60):
+        ask_with(desk, 'north-a', CAPPED)
+    desk.targets['i-1'].script = serve_plain
+    assert [ask_with(desk, 'north-a', CAPPED).status for _ in range(3)] == [
+        200,
+        200,
+        200,
+    ]
+
+
+def test_other_host_keeps_the_pool_when_its_keeper_is_killed(desk):
+    """The host that keeps an organisation's pool, or lends to it, is gone."""
+    desk.hosts['north-a'].kill()
+    wait_until(
+        lambda: is_served(desk, 'north-b'),
+        'the other host lets requests through',
+        20,
+    )
+
+
+def test_hosts_that_all_start_again_serve_and_keep_the_cap(desk):
+    """All hosts lose power: nobody knows what was spent before."""
+    for name in ('north-a', 'north-b'):
+        desk.hosts[name].kill()
+    for name in ('north-a', 'north-b'):
+        desk.hosts[name].start()
+    for name in ('north-a', 'north-b'):
+        desk.wait_ready(name)
+        wait_until(lambda name=name: is_served(desk, name), 'it is lent', 20)
+
+
+def test_state_and_metrics_tell_of_shares(desk):
+    host = desk.hosts['north-a']
+    ask_with(desk, 'north-a', CAPPED)
+    assert b'cap_shares' in call(host.control, '/state').body
+    assert b'cap_shares_held' in call(host.metrics, '/metrics').body
+
+
+def test_cap_that_was_lifted_binds_no_more(desk):
+    """The operator takes the cap away while its organisation presses."""
+    while ask_with(desk, 'north-a', CAPPED).status == 200:
+        pass
+    version = desk.put_routes(
+        route('/order/'), tenants=[tenant('capped', CAPPED)]
+    )
+    desk.wait_log('north-a', f'version={version}')
+    pause(0.1)
+    assert all(
+        ask_with(desk, 'north-a', CAPPED).status == 200 for _ in range(50)
+    )
--- /dev/null
+++ b/tests/gateway/test_freshness.py
@@ -0,0 +1,270 @@
+"""Keys that were taken away: how old a host's knowledge may be."""
+
+import signal
+
+import pytest
+
+from jacinthfold.catalogue.freshness import Freshness
+from jacinthfold.fleet.table import HostState
+from jacinthfold.organisations.credentials import digest_of
+from jacinthfold.organisations.model import Organisation
+from jacinthfold.proxy.key_gate import Barrier, KeyGate
+from jacinthfold.proxy.messages import Request, RequestFacts
+from tests.fakes import FakeClock
+from tests.gateway.beating import Fleet
+from tests.gateway.deployment import (
+    bearer,
+    pause,
+    route,
+    tenant,
+    wait_served,
+)
+from tests.gateway.test_organisations import KEY, OTHER, document, record
+from tests.gateway.test_translation import catalogue
+from tools.fleet import wait_until
+
+BOUND_SECONDS = 5.0
+
+
+def test_proof_counts_from_the_question():
+    """The store answered, and the answer took two seconds to arrive."""
+    clock = FakeClock()
+    freshness = Freshness(clock)
+    freshness.advance(7)
+    asked_at = clock.boottime()
+    clock.advance(2)
+    freshness.note(asked_at, 7)
+    assert freshness.age_seconds == 2
+
+
+def test_store_that_is_ahead_proves_nothing_until_that_is_known():
+    """A read names revision 9; the change it stands for isn't here yet.
+
+    It may be the one that takes a key away.
+    """
+    clock = FakeClock()
+    freshness = Freshness(clock)
+    freshness.advance(7)
+    freshness.note(clock.boottime(), 9)
+    assert freshness.age_seconds == float('inf')
+    assert freshness.is_behind
+    clock.advance(1)
+    freshness.advance(8)
+    assert freshness.age_seconds == float('inf')
+    freshness.advance(9)
+    assert freshness.age_seconds == 1
+    assert not freshness.is_behind
+
+
+def test_older_proof_does_not_replace_a_newer_one():
+    clock = FakeClock()
+    freshness = Freshness(clock)
+    freshness.advance(7)
+    freshness.note(clock.boottime(), 7)
+    freshness.note(clock.boottime() - 3, 7)
+    assert freshness.age_seconds == 0
+
+
+def proven_fleet(count, data_centres=('n-1', 'n-2')):
+    """Return hosts that tell each other proofs, none of which has any."""
+    fleet = Fleet(count, data_centres)
+    for host in fleet.hosts.values():
+        host.heartbeats.proofs.is_told = True
+        freshness_of(host).advance(1)
+    fleet.run(3)
+    return fleet
+
+
+def freshness_of(host):
+    return host.heartbeats.content._catalogue.freshness
+
+
+@pytest.mark.parametrize('count', [4, 20, 60])
+def test_one_hosts_proof_serves_its_data_centre(count):
+    """One host reads the store; the store turns all others away.
+
+    Whether hosts tell each other all or collectors sum for them, each host of
+    its data centre is to know within two seconds, with an age that grew on the
+    way and never shrank.
+    """
+    fleet = proven_fleet(count, ('n-1',))
+    reader = next(iter(fleet.hosts.values()))
+    read_at = fleet.clock.boottime()
+    freshness_of(reader).note(read_at, 1)
+    fleet.run(2)
+    age_seconds = fleet.clock.boottime() - read_at
+    for host in fleet.hosts.values():
+        assert freshness_of(host).age_seconds < age_seconds + 2
+        assert freshness_of(host).proof.as_of <= read_at
+
+
+def test_proof_does_not_grow_young_on_its_way():
+    """Datagrams lie a second in the buffer of a host that stands still.
+
+    Counted from when they are read, an old proof would seem new, and a key
+    that was taken away meanwhile would serve beyond its bound.
+    """
+    fleet = proven_fleet(4, ('n-1',))
+    reader, other = list(fleet.hosts.values())[:2]
+    read_at = fleet.clock.boottime()
+    freshness_of(reader).note(read_at, 1)
+    held = []
+    deliver = other.heartbeats.datagram_received
+    other.heartbeats.datagram_received = lambda content, addr: held.append(
+        (content, addr)
+    )
+    fleet.run(1)
+    other.heartbeats.datagram_received = deliver
+    fleet.clock.advance(4)
+    for content, addr in held:
+        deliver(content, addr)
+    assert freshness_of(other).proof.as_of <= read_at
+
+
+def test_number_of_an_earlier_life_proves_nothing():
+    """A host starts again; a neighbour still names what it said before."""
+    fleet = proven_fleet(2, ('n-1',))
+    one, two = fleet.hosts.values()
+    freshness_of(one).note(fleet.clock.boottime(), 1)
+    fleet.run(1)
+    proofs = two.heartbeats.proofs
+    before = freshness_of(two).proof.as_of
+    proofs._life += 1
+    freshness_of(one).note(fleet.clock.boottime(), 1)
+    fleet.run(0.1)
+    assert freshness_of(two).proof.as_of == before
+
+
+def gate_at(age_seconds):
+    """Return a gate whose knowledge is so old, with one organisation."""
+    made, _ = catalogue()
+    made.apply([record(document(tenant('north', KEY)), 1)], 1)
+    clock = made.freshness._clock
+    made.freshness.note(clock.boottime(), 1)
+    clock.advance(age_seconds)
+    return KeyGate(made, BOUND_SECONDS), made
+
+
+def request_with(key):
+    request = Request(b'GET', b'/', [], b'', RequestFacts('1', 'api'))
+    request.facts.key_digest = digest_of(key.encode())
+    request.organisation = Organisation('north', ())
+    return request
+
+
+@pytest.mark.parametrize(
+    ('age_seconds', 'barrier'),
+    [(0, None), (4.5, None), (4.7, Barrier.STALE), (60, Barrier.STALE)],
+)
+def test_request_is_not_sent_past_the_bound(age_seconds, barrier):
+    """A host was let a request in, and stood still before it sent it."""
+    gate, _ = gate_at(age_seconds)
+    assert gate.barrier(request_with(KEY)) is barrier
+
+
+def test_request_whose_key_went_while_it_waited_is_not_sent():
+    gate, made = gate_at(0)
+    assert gate.barrier(request_with(KEY)) is None
+    made.apply([record(document(tenant('north', OTHER), version=6), 2)], 2)
+    assert gate.barrier(request_with(KEY)) is Barrier.REVOKED
+
+
+def test_key_that_moved_while_it_waited_is_not_run_for_its_old_holder():
+    gate, made = gate_at(0)
+    moved = document(tenant('north'), tenant('south', KEY), version=6)
+    made.apply([record(moved, 2)], 2)
+    assert gate.barrier(request_with(KEY)) is Barrier.REVOKED
+
+
+def test_passed_on_request_needs_its_organisation_here():
+    """Another host let it in; all its keys are gone by what is known here."""
+    gate, made = gate_at(0)
+    request = request_with(KEY)
+    request.is_relayed = True
+    assert gate.barrier(request) is None
+    made.apply([record(document(tenant('x', OTHER), version=6), 2)], 2)
+    assert gate.barrier(request) is Barrier.REVOKED
+
+
+def test_unknown_key_is_not_denied_by_old_knowledge():
+    """A key was added a moment ago; callers don't come back after a denial."""
+    assert gate_at(0)[0].may_deny
+    assert not gate_at(3)[0].may_deny
+
+
+def cut_deployment(deployment, *names):
+    deployment.put_routes(
+        route('/order/'),
+        route('/open/', public=True),
+        tenants=[tenant('north', KEY)],
+    )
+    deployment.add_target('i-1', 'desk')
+    for name in names:
+        deployment.start_host(name, revocation_ms=5000)
+    wait_served(deployment, names[0], '/open/x')
+
+
+def ask_with_key(deployment, name):
+    return deployment.ask(name, '/order/x', headers=[bearer(KEY)])
+
+
+def test_host_without_the_store_serves_no_key_past_the_bound(deployment):
+    """The store goes away, and a key is taken where nobody hears of it.
+
+    For some seconds the host goes on. Then it answers 503 at once with a time
+    to come back, for good keys too, and serves open routes. When the store is
+    back the key that was taken is denied.
+    """
+    cut_deployment(deployment, 'north-a')
+    assert ask_with_key(deployment, 'north-a').status == 200
+    deployment.store.is_down = True
+    pause(5.5)
+    deployment.targets['i-1'].executed.clear()
+    answer = ask_with_key(deployment, 'north-a')
+    assert answer.status == 503
+    assert float(answer.headers['retry-after']) > 0
+    assert not deployment.targets['i-1'].executed
+    assert deployment.ask('north-a', '/open/x').status == 200
+    deployment.put_routes(route('/order/'), tenants=[tenant('north', OTHER)])
+    deployment.store.is_down = False
+    wait_until(
+        lambda: ask_with_key(deployment, 'north-a').status == 401,
+        'the key is denied',
+    )
+    assert len(deployment.targets['i-1'].executed) <= 1
+
+
+def test_quiet_store_is_asked_and_keys_go_on(deployment):
+    """Nothing changes in the store for longer than the bound."""
+    cut_deployment(deployment, 'north-a')
+    pause(6.5)
+    assert ask_with_key(deployment, 'north-a').status == 200
+
+
+def test_frozen_host_runs_nothing_with_a_key_that_went(deployment):
+    """A host stands still while a key is taken away, and wakes with requests
+    in its sockets. It can't have heard; what it sends now would run seven
+    seconds after the key's end."""
+    cut_deployment(deployment, 'north-a')
+    host = deployment.hosts['north-a']
+    deployment.store.is_down = True
+    host.signal(signal.SIGSTOP)
+    deployment.put_routes(route('/order/'), tenants=[tenant('north', OTHER)])
+    pause(5.5)
+    deployment.targets['i-1'].executed.clear()
+    host.signal(signal.SIGCONT)
+    assert ask_with_key(deployment, 'north-a').status == 503
+    assert not deployment.targets['i-1'].executed
+
+
+def test_directory_names_hosts_that_reach_the_store():
+    fleet = Fleet(4, ('n-1',))
+    fleet.run(2)
+    hosts = list(fleet.hosts.values())
+    hosts[1].heartbeats.content.reaches_store = lambda: False
+    fleet.run(1)
+    able = set(hosts[0].hosts.all_reaching_store())
+    names = [one.hosts.own.name for one in hosts]
+    assert names[1] not in able
+    assert {names[2], names[3]} <= able
+    assert hosts[0].hosts.own_state is HostState.ACTIVE
--- /dev/null
+++ b/tests/gateway/test_organisations.py
@@ -0,0 +1,276 @@
+"""Keys and organisations: who is let in, and what targets are told."""
+
+import json
+
+import pytest
+
+from jacinthfold.catalogue.records import Record, UnreadableRecordError
+from jacinthfold.organisations.credentials import bearer_digest, digest_of
+from jacinthfold.organisations.model import Organisation
+from jacinthfold.platform.documents import PlatformReader
+from jacinthfold.proxy.messages import Request, RequestFacts
+from tests.gateway.deployment import (
+    Connection,
+    ask,
+    bearer,
+    route,
+    service,
+    tenant,
+    wait_served,
+)
+from tests.gateway.test_translation import catalogue
+from tools.fleet import wait_until
+
+KEY = 'a-key-of-the-north-1'
+OTHER = 'a-key-of-the-south-2'
+
+
+@pytest.fixture
+def desk(deployment):
+    """Give one target behind a host; two organisations hold keys."""
+    deployment.put_routes(
+        route('/order/'),
+        route('/open/', public=True),
+        tenants=[tenant('north', KEY, 'second-key'), tenant('south', OTHER)],
+    )
+    deployment.add_target('i-1', 'desk')
+    deployment.start_host('north-a', revocation_ms=5000)
+    wait_served(deployment, 'north-a', '/open/x')
+    deployment.targets['i-1'].executed.clear()
+    return deployment
+
+
+def ran(deployment):
+    return deployment.targets['i-1'].executed
+
+
+def ask_with(deployment, *headers, path='/order/x'):
+    return deployment.ask('north-a', path, headers=headers)
+
+
+def test_target_is_told_who_calls_and_never_the_key(desk):
+    """A caller sends its key, and says that it is somebody else.
+
+    The target must run the request for the key's holder, and must not see the
+    key: a target's log would hold it.
+    """
+    answer = ask_with(desk, bearer(KEY), ('Tenant', 'south'))
+    assert answer.status == 200
+    headers = ran(desk)[0].headers
+    assert headers['tenant'] == 'north'
+    assert 'authorization' not in headers
+
+
+@pytest.mark.parametrize('key', ['second-key', KEY])
+def test_each_key_of_an_organisation_serves(desk, key):
+    assert ask_with(desk, bearer(key)).status == 200
+    assert ran(desk)[0].headers['tenant'] == 'north'
+
+
+def test_open_route_is_served_without_key_and_tells_nobody(desk):
+    answer = ask_with(desk, bearer(KEY), ('Tenant', 'south'), path='/open/x')
+    assert answer.status == 200
+    headers = ran(desk)[0].headers
+    assert 'tenant' not in headers
+    assert 'authorization' not in headers
+
+
+@pytest.mark.parametrize(
+    'headers',
+    [
+        [],
+        [bearer('nobody-holds-this')],
+        [('Authorization', KEY)],
+        [('Authorization', f'Basic {KEY}')],
+        [('Authorization', 'Bearer')],
+        [('Authorization', '')],
+        [bearer(KEY), bearer(OTHER)],
+        [bearer(KEY), bearer(KEY)],
+        [('Authorization', f'Bearer {KEY} {OTHER}')],
+        [bearer('x' * 8000)],
+        [('Authorization', b'Bearer \xff\xfe\x80')],
+        [('Tenant', 'north')],
+    ],
+    ids=str,
+)
+def test_nobody_is_let_in_without_one_known_key(desk, headers):
+    """A caller sends no key, an unknown one, two, or what is no key.
+
+    It gets a final answer that says so, nothing runs, and the host goes on.
+    """
+    answer = ask_with(desk, *headers)
+    assert answer.status == 401
+    assert answer.headers['www-authenticate'] == 'Bearer'
+    assert not ran(desk)
+    assert ask_with(desk, bearer(KEY)).status == 200
+
+
+def test_key_moves_to_another_organisation(desk):
+    """The operator gives a key to somebody else, and takes one away.
+
+    From the new version on requests count for the new holder, and those with
+    the other key are denied: on a connection that was open all the while too.
+    """
+    connection = Connection(desk.hosts['north-a'].callers)
+    connection.send('/order/1', headers=[bearer(KEY)], request_id='before')
+    assert connection.receive().status == 200
+    version = desk.put_routes(
+        route('/order/'),
+        tenants=[tenant('north'), tenant('south', OTHER, KEY)],
+    )
+    desk.wait_log('north-a', f'version={version}')
+    connection.send('/order/2', headers=[bearer(KEY)], request_id='after')
+    assert connection.receive().status == 200
+    assert ran(desk)[-1].headers['tenant'] == 'south'
+    connection.send('/order/3', headers=[bearer('second-key')])
+    assert connection.receive().status == 401
+    connection.close()
+
+
+def test_key_stands_in_no_log_and_no_dump(desk):
+    ask_with(desk, bearer(KEY))
+    ask_with(desk, bearer('nobody-holds-this'))
+    host = desk.hosts['north-a']
+    shown = host.log() + ask(host.control, '/state').body.decode()
+    shown += ask(host.metrics, '/metrics').body.decode()
+    assert KEY not in shown
+    assert 'nobody-holds-this' not in shown
+
+
+def test_configuration_without_organisations_asks_for_no_key(deployment):
+    """Headers of callers go on to targets as they came."""
+    deployment.put_routes(route('/order/'))
+    deployment.add_target('i-1', 'desk')
+    deployment.start_host('north-a')
+    wait_served(deployment, 'north-a', '/order/x')
+    ask_with(deployment, bearer(KEY), ('Tenant', 'x'))
+    headers = ran(deployment)[-1].headers
+    assert headers['authorization'] == f'Bearer {KEY}'
+    assert headers['tenant'] == 'x'
+
+
+def test_other_region_runs_a_request_for_the_same_organisation(deployment):
+    """An organisation whose home is the south asks a host of the north.
+
+    The host passes the request on, with the organisation's name and without
+    its key; the target in the south is told the name.
+    """
+    deployment.put_routes(
+        route('/order/', **{'timeout-ms': 4000}),
+        tenants=[tenant('south', OTHER, **{'allowed-regions': ['south']})],
+    )
+    deployment.add_target('i-1', 'desk', 'south-1')
+    deployment.add_target('i-2', 'desk', 'north-1')
+    deployment.start_host('south-a', 'south-1', revocation_ms=5000)
+    deployment.start_host('north-a', revocation_ms=5000)
+    headers = [bearer(OTHER)]
+    wait_until(
+        lambda: (
+            deployment.ask('north-a', '/order/x', headers=headers).status == 200
+        ),
+        'the north serves the south',
+    )
+    assert ran(deployment)[-1].headers['tenant'] == 'south'
+    assert 'authorization' not in ran(deployment)[-1].headers
+    assert not deployment.targets['i-2'].executed
+
+
+def request_of(route_homes, organisation_homes):
+    request = Request(b'GET', b'/', [], b'', RequestFacts('1', 'api'))
+    request.route.home_regions = frozenset(route_homes)
+    request.organisation = Organisation('o', ())
+    request.organisation.home_regions = frozenset(organisation_homes)
+    return request
+
+
+@pytest.mark.parametrize(
+    ('route_homes', 'organisation_homes', 'expected'),
+    [
+        ('', '', 'abc'),
+        ('ab', '', 'ab'),
+        ('', 'bc', 'bc'),
+        ('ab', 'bc', 'b'),
+        ('a', 'c', ''),
+    ],
+)
+def test_homes_of_route_and_organisation_both_bind(
+    route_homes, organisation_homes, expected
+):
+    request = request_of(route_homes, organisation_homes)
+    assert [one for one in 'abc' if request.allows(one)] == list(expected)
+
+
+def test_organisations_priority_goes_before_the_routes():
+    request = request_of('', '')
+    request.route.priority = 0
+    assert request.is_urgent
+    request.organisation.priority = 2
+    assert not request.is_urgent
+    assert request.priority == 2
+
+
+def document(*tenants, version=5):
+    made = {
+        'version': version,
+        'routes': [route('/a/')],
+        'backends': [service('desk')],
+        'tenants': list(tenants),
+    }
+    return json.dumps(made).encode()
+
+
+@pytest.mark.parametrize(
+    'tenants',
+    [
+        [tenant('', KEY)],
+        [{'api-keys': [KEY]}],
+        [tenant('north', KEY), tenant('south', KEY)],
+        [tenant('north', KEY), tenant('north', OTHER)],
+        [tenant('north', '')],
+        [tenant('north', 'x' * 9000)],
+        [tenant('north', KEY, **{'rate-per-s': -1})],
+        [tenant('north', KEY, **{'rate-per-s': 2**70})],
+        [tenant('north', KEY, **{'rate-per-s': 10, 'burst': -5})],
+        [tenant('north', KEY, **{'rate-per-s': 10, 'burst': 2**70})],
+        [tenant('north', KEY, **{'uncached-tokens': -1})],
+        [tenant('north', KEY, priority=-1)],
+        [tenant('north', KEY, **{'allowed-regions': 'north'})],
+        ['north'],
+        {'north': KEY},
+    ],
+    ids=str,
+)
+def test_configuration_nobody_can_follow_changes_nothing(tenants):
+    """An operator declares a cap, a key or a name that makes no sense.
+
+    The version in force stays, and reading says what is wrong.
+    """
+    with pytest.raises(UnreadableRecordError):
+        PlatformReader().read_routes(document(*tenants))
+    made, heard = catalogue()
+    made.apply([record(document(tenant('north', KEY)), 1)], 1)
+    made.apply([record(document(*tenants, version=6), 2)], 2)
+    assert made.routes.version == 5
+    assert heard == [('routes', 5)]
+
+
+def record(content, revision):
+    return Record('op/config', revision, content)
+
+
+def test_cap_is_read_in_its_unit():
+    fields = {'rate-per-s': 36000, 'burst': 5000}
+    table = PlatformReader().read_routes(
+        document(tenant('north', KEY, **fields), tenant('south', unit=''))
+    )
+    found = table.organisations.holding(digest_of(KEY.encode()))
+    assert (found.cap.per_second, found.cap.burst) == (36000, 5000)
+    assert found.cap.cost(10, 2) == 12
+    assert table.organisations.named('south').cap is None
+
+
+def test_digest_is_of_the_one_bearer_key():
+    assert bearer_digest([b'bearer  key ']) == digest_of(b'key')
+    assert bearer_digest([b'BEARER key']) == digest_of(b'key')
+    assert bearer_digest([b'Bearer key', b'Bearer key']) is None
+    assert bearer_digest([]) is None
--- /dev/null
+++ b/tests/gateway/test_quota.py
@@ -0,0 +1,393 @@
+"""Caps over all hosts: shares that are lent, pools, and what a window holds."""
+
+import random
+from itertools import pairwise
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from jacinthfold.organisations.model import Cap
+from jacinthfold.quota.bounds import (
+    PERMIT_SECONDS,
+    SHARE_SECONDS,
+    Pace,
+    Window,
+)
+from jacinthfold.quota.issuer import Issuer
+from jacinthfold.quota.pool import WAIT_SECONDS, OrganisationPool
+
+WINDOW = Window(8, 0.1, 140000)
+# The smallest cap of the sheet and one of the larger ones, in tokens.
+CAPS = (36000, 1550000)
+
+
+def cap(per_second, burst=None):
+    return Cap(
+        per_second,
+        per_second if burst is None else burst,
+        counts_tokens=True,
+        plain_tokens=200,
+    )
+
+
+def allowed(per_second, burst, window=WINDOW):
+    """Return what the rules let run in a window."""
+    owed = per_second * window.seconds + burst
+    return owed * (1 + window.excess) + window.slack
+
+
+class Holder:
+    """Hold one pool of a simulated region; its process may start again."""
+
+    def __init__(self, name, pace, now):
+        self.name = name
+        self.pace = pace
+        self.life = 0
+        self.granted = []
+        self.start(now)
+
+    def start(self, now):
+        self.life += 1
+        self.pool = OrganisationPool(self.pace, now)
+
+    def want(self, cost, now):
+        def decide(after):
+            if after is None:
+                self.granted.append((now, cost))
+
+        self.pool.ask(cost, now, decide)
+
+
+class World:
+    """Play holders and issuers over a network that delays, loses, doubles."""
+
+    def __init__(self, seed, per_second=36000, regions=3):
+        self.random = random.Random(seed)
+        self.now = 100.0
+        self.pace = Pace(cap(per_second), WINDOW)
+        self.holders = [
+            Holder(f'pool-{number}', self.pace, self.now)
+            for number in range(regions)
+        ]
+        self.issuer = Issuer(self.now, self.pace.extra_share)
+        self.mail = []
+        self.most_held = 0.0
+        self.cut = set()
+        # Shares that end by the clocks of holders; none when all hosts died.
+        self.issuer_gone_until = 0.0
+
+    def held(self):
+        return sum(one.pool.share.held(self.now) for one in self.holders)
+
+    def post(self, deliver, name):
+        copies = self.random.choice((0, 1, 1, 1, 1, 1, 2))
+        for _ in range(copies if name not in self.cut else 0):
+            delay = self.random.choice((0.001, 0.06, 0.06, 0.2, 1.5))
+            self.mail.append((self.now + delay, self.random.random(), deliver))
+
+    def ask(self, holder):
+        pool = holder.pool
+        held = pool.share.held(self.now)
+        number = pool.share.ask(self.now)
+        wanted = pool.wanted(self.now)
+        life, issuer = holder.life, self.issuer
+
+        def arrive():
+            # An issuer that was replaced answers nothing any more.
+            if issuer is not self.issuer or self.now < self.issuer_gone_until:
+                return
+            share = issuer.ask(
+                holder.name,
+                life,
+                number,
+                held=held,
+                wanted=wanted,
+                now=self.now,
+            )
+            if share is not None:
+                self.post(lambda: come_back(share), holder.name)
+
+        def come_back(share):
+            if holder.life == life:
+                pool.take_answer(number, share, self.now)
+
+        self.post(arrive, holder.name)
+
+    def step(self, seconds=0.05):
+        self.now += seconds
+        due = sorted(one for one in self.mail if one[0] <= self.now)
+        self.mail = [one for one in self.mail if one[0] > self.now]
+        for _, _, deliver in due:
+            deliver()
+        for holder in self.holders:
+            holder.pool.serve_waiting(self.now)
+        self.most_held = max(self.most_held, self.held())
+
+    def replace_issuer(self):
+        """Begin with an issuer that knows nothing, as after a crash."""
+        self.issuer = Issuer(self.now, self.pace.extra_share)
+
+
+@pytest.mark.parametrize('per_second', CAPS)
+@pytest.mark.parametrize('seed', range(40))
+def test_no_window_holds_more_than_the_rules_allow(seed, per_second):
+    """Three regions press far beyond the cap for half a minute.
+
+    Meanwhile messages are late, lost and doubled, regions are cut off from the
+    issuer, pools start again with nothing, and the issuer is replaced by one
+    that knows nothing. Shares that were lent twice would show as a window that
+    holds more than cap, excess and slack.
+    """
+    world = World(seed, per_second)
+    for tick in range(700):
+        for holder in world.holders:
+            if tick % 5 == 0:
+                world.ask(holder)
+            for _ in range(3):
+                cost = world.random.choice((200, 2400, 12000, 70000))
+                holder.want(cost, world.now)
+            if world.random.random() < 0.004:
+                holder.start(world.now)
+            if world.random.random() < 0.01:
+                world.cut ^= {holder.name}
+        if world.random.random() < 0.004:
+            # By its lease nobody else issues before the one before has
+            # stopped; what that one lent is still spent for a while.
+            world.replace_issuer()
+            world.issuer_gone_until = world.now + 2
+        world.step()
+    granted = sorted(pair for one in world.holders for pair in one.granted)
+    assert granted
+    # Permits may be used a moment after they were granted.
+    span = WINDOW.seconds + PERMIT_SECONDS
+    for start, _ in granted:
+        inside = sum(cost for at, cost in granted if start <= at < start + span)
+        assert inside <= allowed(per_second, per_second)
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_shares_never_exceed_the_whole_while_one_issuer_knows_all(seed):
+    """Regions ask, lose answers, and are cut; the issuer lives on.
+
+    After its first seconds no more than one whole may be held at any moment,
+    whatever was lost on the way.
+    """
+    world = World(seed)
+    most = 0.0
+    for tick in range(600):
+        for holder in world.holders:
+            if tick % 5 == 0:
+                world.ask(holder)
+            holder.want(world.random.choice((0, 2400, 30000)), world.now)
+            if world.random.random() < 0.01:
+                world.cut ^= {holder.name}
+        world.step()
+        if world.now > 100 + 2 * SHARE_SECONDS + 1:
+            most = max(most, world.held())
+    assert 0.5 < most <= 1 + 1e-9
+
+
+def calm_world(demands, seconds=12, seed=3):
+    """Play regions whose demand is given in requests of 2,400 a second."""
+    world = World(seed)
+    world.random.choice = lambda options: options[2]
+    asked = refused = 0
+    for tick in range(int(seconds / 0.05)):
+        for holder, per_second in zip(world.holders, demands, strict=True):
+            if tick % 5 == 0:
+                world.ask(holder)
+            due = int((tick + 1) * 0.05 * per_second) - int(
+                tick * 0.05 * per_second
+            )
+            for _ in range(due):
+                if world.now > 100 + SHARE_SECONDS + 1:
+                    asked += 1
+                    before = len(holder.granted)
+                    holder.want(2400, world.now)
+                    # A short wait is no refusal.
+                    if len(holder.granted) == before:
+                        refused += not holder.pool.is_waited_for
+                else:
+                    holder.want(2400, world.now)
+        world.step()
+    return asked, refused
+
+
+@pytest.mark.parametrize(
+    'demands', [(8, 0.5, 0.5), (3, 3, 3), (0.5, 8, 0.5), (9, 0, 0)]
+)
+def test_what_lies_below_the_cap_is_not_refused(demands):
+    """Nine tenths of what the cap carries for long, asked wherever.
+
+    One region at its peak while the others sleep, or all alike. A split that
+    does not follow the demand would refuse most of it.
+    """
+    asked, refused = calm_world(demands)
+    assert asked > 50
+    assert refused <= 0.01 * asked
+
+
+def test_share_follows_a_peak_to_another_region_within_two_seconds():
+    """A region's peak ends as another one's begins."""
+    world = World(5)
+    world.random.choice = lambda options: options[2]
+    for tick in range(240):
+        busy, calm = world.holders[:2] if tick < 120 else world.holders[1::-1]
+        if tick % 5 == 0:
+            for holder in world.holders:
+                world.ask(holder)
+        if tick % 2 == 0:
+            busy.want(2400, world.now)
+        if tick % 40 == 0:
+            calm.want(2400, world.now)
+        world.step()
+        if tick == 160:
+            assert world.holders[1].pool.share.held(world.now) > 0.6
+
+
+def test_late_answer_to_an_earlier_question_changes_nothing():
+    """The issuer believes what a question says is held.
+
+    An answer to the question before it, taken after that, would let the pool
+    spend what the issuer has lent to somebody else by then.
+    """
+    pool = OrganisationPool(Pace(cap(36000), WINDOW), 0.0)
+    first = pool.share.ask(0.0)
+    second = pool.share.ask(0.5)
+    pool.take_answer(first, 0.8, 0.6)
+    assert pool.share.held(0.6) == 0
+    pool.take_answer(second, 0.2, 0.7)
+    assert pool.share.held(0.7) == 0.2
+
+
+def test_silent_pools_share_is_not_lent_again_before_it_ends():
+    """A pool is cut off with half of the cap, and goes on spending it."""
+    issuer = Issuer(0.0, 0.0)
+    now = 2 * SHARE_SECONDS
+    first = issuer.ask('a', 1, 1, held=0, wanted=1, now=now)
+    assert first == pytest.approx(0.9)
+    lent = issuer.ask('b', 1, 1, held=0, wanted=1, now=now + 1)
+    assert lent == pytest.approx(0.1)
+    later = now + SHARE_SECONDS + 0.1
+    assert issuer.ask('b', 1, 2, held=0.1, wanted=1, now=later) > 0.8
+
+
+def test_new_issuer_lends_nothing_that_may_be_held():
+    """An issuer took over from one that crashed; a pool is not heard yet.
+
+    It may still spend all but what the others hold. Until that has ended the
+    new one only prolongs what pools hold, and a little that buckets leave
+    room for.
+    """
+    issuer = Issuer(10.0, 0.1)
+    assert issuer.ask('a', 1, 7, held=0.4, wanted=1, now=10.5) == pytest.approx(
+        0.5
+    )
+    assert issuer.ask('b', 1, 3, held=0, wanted=1, now=10.6) == 0
+
+
+def test_restarted_pool_holds_nothing():
+    issuer = Issuer(0.0, 0.0)
+    now = 2 * SHARE_SECONDS
+    issuer.ask('a', 1, 1, held=0, wanted=1, now=now)
+    # A question of the process before, late on its way, counts no more.
+    assert issuer.ask('a', 2, 1, held=0, wanted=1, now=now + 1) > 0.8
+    assert issuer.ask('a', 1, 2, held=0.9, wanted=1, now=now + 1) is None
+    assert issuer.lent(now + 1) <= 1
+
+
+@given(
+    st.floats(1, 1e7),
+    st.floats(0, 1e7),
+    st.floats(1, 60),
+    st.floats(0, 1),
+    st.floats(0, 1e6),
+)
+def test_pace_fits_every_window(per_second, burst, seconds, excess, slack):
+    """Whatever the operator declares, rate and bursts fit what may run."""
+    window = Window(seconds, excess, slack)
+    pace = Pace(cap(per_second, burst), window)
+    span = seconds + PERMIT_SECONDS
+    extra = pace.extra_share * pace.per_second * 2 * SHARE_SECONDS
+    most = pace.per_second * span + pace.burst + extra
+    assert 0 < pace.per_second <= per_second
+    assert most <= allowed(per_second, burst, window)
+
+
+def lent_pool(share=0.9, per_second=36000):
+    pool = OrganisationPool(Pace(cap(per_second), WINDOW), 0.0)
+    pool.take_answer(pool.share.ask(0.0), share, 0.0)
+    return pool
+
+
+def renew(pool, now, share=0.9):
+    pool.take_answer(pool.share.ask(now), share, now)
+
+
+def test_refusal_says_when_the_tokens_are_there():
+    """An organisation has spent its burst; a review of 30,000 tokens comes."""
+    pool = lent_pool()
+    told = []
+    renew(pool, 0.1)
+    pool.ask(30000, 0.1, told.append)
+    after = told[0]
+    rate = 0.9 * pool.pace.per_second
+    assert after == pytest.approx((30000 - 0.1 * rate) / rate, rel=0.01)
+
+
+def test_what_fits_in_a_moment_waits_for_it():
+    pool = lent_pool()
+    told = []
+    pool.ask(3000, 0.0, told.append)
+    assert not told
+    pool.serve_waiting(0.1)
+    assert told == [None]
+
+
+def test_nobody_waits_longer_than_the_bound():
+    """The issuer is gone while requests wait for their pool's first share."""
+    pool = OrganisationPool(Pace(cap(36000), WINDOW), 0.0)
+    told = []
+    pool.ask(2400, 0.0, told.append)
+    pool.serve_waiting(WAIT_SECONDS / 2)
+    assert not told
+    pool.serve_waiting(WAIT_SECONDS + 0.01)
+    assert told[0] > 0
+
+
+def test_tokens_end_with_the_share():
+    """A pool that hears nothing more stops; another one holds its share."""
+    pool = lent_pool()
+    told = []
+    pool.ask(2400, SHARE_SECONDS + 1, told.append)
+    pool.serve_waiting(SHARE_SECONDS + 1 + WAIT_SECONDS)
+    assert told[0] is not None
+
+
+def test_tokens_of_a_request_that_did_not_run_come_back():
+    pool = lent_pool()
+    told = []
+    renew(pool, 1.0)
+    pool.ask(25000, 1.0, told.append)
+    pool.give_back(25000, 1.0)
+    pool.ask(25000, 1.0, told.append)
+    assert told == [None, None]
+
+
+def test_lowered_cap_binds_at_once():
+    pool = lent_pool()
+    renew(pool, 1.0)
+    pool.pace = Pace(cap(3600), WINDOW)
+    renew(pool, 1.1)
+    told = []
+    for one, other in pairwise(range(40)):
+        pool.ask(1000, 1.1 + 0.1 * (other - one), told.append)
+    assert sum(one is None for one in told) * 1000 <= pool.pace.burst + 3600
+
+
+def test_cost_counts_tokens_in_and_out():
+    tokens = cap(1000)
+    assert tokens.cost(1800, 80) == 1880
+    assert tokens.cost(0, 0) == 200
+    assert Cap(10, 5).cost(1800, 80) == 1
--- a/tests/gateway/test_translation.py
+++ b/tests/gateway/test_translation.py
@@ -50,9 +50,12 @@
     def on_quarantine(self, name, content):
         self.heard.append(('quarantine', name, content))
 
+    def on_issuer(self, name, record):
+        self.heard.append(('issuer', name, record.content))
 
-def catalogue():
-    made = Catalogue(PlatformReader(), decode_host, FakeClock())
+
+def catalogue(clock=None):
+    made = Catalogue(PlatformReader(), decode_host, clock or FakeClock())
     listener = Listener()
     made.subscribe(listener)
     return made, listener.heard
