--- a/jacinthfold/proxy/admission.py
+++ b/jacinthfold/proxy/admission.py
@@ -15,6 +15,8 @@
 # Hosts that know the store's state are named by the directory; a caller that
 # asks it again has one within this.
 STALE_RETURN_SECONDS = 0.3
+# Only a new configuration can change it.
+NO_REGION_RETURN_SECONDS = 30.0
 
 
 class Admission:
@@ -41,6 +43,16 @@
 
     def is_barred(self, request: Request, progress: Progress) -> bool:
         """Tell whether a request is refused whatever room there is."""
+        if request.is_bound and not request.home_regions:
+            # Route and organisation have no home in common. Told to return
+            # soon, callers would ask again and again for nothing.
+            progress.note_turned_away(
+                'no_region',
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                NO_REGION_RETURN_SECONDS,
+            )
+            self._metrics.turned_away.labels('no_region').inc()
+            return True
         barrier = self.gate.barrier(request)
         if barrier is not None:
             self._note_barrier(request, progress, barrier)
--- a/tests/gateway/test_organisations.py
+++ b/tests/gateway/test_organisations.py
@@ -274,3 +274,25 @@
     assert bearer_digest([b'BEARER key']) == digest_of(b'key')
     assert bearer_digest([b'Bearer key', b'Bearer key']) is None
     assert bearer_digest([]) is None
+
+
+def test_request_that_no_region_may_serve_is_refused_at_once(deployment):
+    """The route's homes and the organisation's have none in common.
+
+    No change but a new configuration can serve it: the caller is told to stay
+    away, and not to return in a moment, again and again.
+    """
+    south = {'allowed-regions': ['south']}
+    deployment.put_routes(
+        route('/order/', **{'allowed-regions': ['north']}),
+        tenants=[tenant('south', OTHER, **south)],
+    )
+    deployment.add_target('i-1', 'desk')
+    deployment.start_host('north-a', revocation_ms=5000)
+    answer = deployment.ask(
+        'north-a', '/order/x', headers=[bearer(OTHER)], seconds=4
+    )
+    assert answer.status == 503
+    assert float(answer.headers['retry-after']) >= 1
+    deployment.wait_log('north-a', 'reason=no_region')
+    assert not ran(deployment)
