--- a/jacinthfold/quota/bounds.py
+++ b/jacinthfold/quota/bounds.py
@@ -5,8 +5,13 @@
 # From the grant of a permit until its request has reached a target. Permits
 # that are not used by then lapse.
 PERMIT_SECONDS = 0.5
-# How long a lent share may be spent unless it is lent again.
-SHARE_SECONDS = 3.0
+# How long a lent share may be spent unless it is lent again. Long enough to
+# outlive a store that is away for some seconds, together with an issuer's
+# lease; what an issuer that takes over waits until it knows all holders.
+SHARE_SECONDS = 2.0
+# Issuers of one cap, on different hosts, each of which lends a half: a cap is
+# most of twice the usual, so that one issuer's loss costs little.
+HALVES = 2
 # Kept back for clocks that tick apart and requests that arrive late.
 SAFE_SHARE = 0.96
 # Of what a window may hold beyond the steady rate, the part that buckets hold.
--- a/jacinthfold/quota/bucket.py
+++ b/jacinthfold/quota/bucket.py
@@ -4,14 +4,14 @@
 class Bucket:
     """Hold tokens that a share of a cap fills."""
 
-    __slots__ = ('_filled_at', 'burst', 'per_second', 'tokens')
+    __slots__ = ('burst', 'filled_at', 'per_second', 'tokens')
 
     def __init__(self, now: float) -> None:
         """Start empty: what was spent before is not known."""
         self.tokens = 0.0
         self.per_second = 0.0
         self.burst = 0.0
-        self._filled_at = now
+        self.filled_at = now
 
     def set_rate(self, per_second: float, burst: float, now: float) -> None:
         """Take a new rate and burst from now on."""
@@ -22,9 +22,9 @@
 
     def fill(self, now: float) -> None:
         """Add what came since the last time."""
-        earned = max(0.0, now - self._filled_at) * self.per_second
+        earned = max(0.0, now - self.filled_at) * self.per_second
         self.tokens = min(self.burst, self.tokens + earned)
-        self._filled_at = now
+        self.filled_at = now
 
     def take(self, cost: float, now: float) -> bool:
         """Take tokens if they are there."""
--- a/jacinthfold/quota/issuers.py
+++ b/jacinthfold/quota/issuers.py
@@ -22,25 +22,29 @@
 from jacinthfold.clock import Clock
 from jacinthfold.fleet.table import HostTable
 from jacinthfold.hashing import rank
+from jacinthfold.quota.bounds import HALVES
 from jacinthfold.quota.issuer import Issuer
 from jacinthfold.quota.messages import ShareAnswer, ShareAsk
 from jacinthfold.quota.pools import Pools
 
 # Parts that organisations are dealt into, so that no host lends all.
 PARTS = 16
+# The halves of a cap lie so many parts from each other.
+_PARTS_BETWEEN = PARTS // HALVES
 TICK_SECONDS = 0.2
 # Of an issuer that is gone nobody lends for as long as this.
-LEASE_SECONDS = 2.0
-RENEW_SECONDS = 0.6
+LEASE_SECONDS = 3.0
+RENEW_SECONDS = 0.8
 # Left of the lease for calls that take their time.
 LEASE_MARGIN_SECONDS = 0.2
 # The next host in order waits this much longer before it takes a free part.
 ORDER_SECONDS = 0.4
 
 
-def part_of(organisation: str) -> str:
-    """Return the part of an organisation, the same on every host."""
-    return f'{xxhash.xxh64_intdigest(organisation.encode()) % PARTS:02}'
+def part_of(organisation: str, half: int) -> str:
+    """Return the part of half an organisation's cap, on every host the same."""
+    first = xxhash.xxh64_intdigest(organisation.encode())
+    return f'{(first + half * _PARTS_BETWEEN) % PARTS:02}'
 
 
 class IssuerDocument(msgspec.Struct):
@@ -108,21 +112,21 @@
             # The answer to the claim was lost, the claim was not.
             self._begin(name, now)
 
-    def issuer_of(self, organisation: str) -> str:
+    def issuer_of(self, organisation: str, half: int) -> str:
         """Return the name of the host that issues, none if nobody does."""
-        return self._parts[part_of(organisation)].issuer
+        return self._parts[part_of(organisation, half)].issuer
 
     def answer(self, name: str, life: int, ask: ShareAsk) -> ShareAnswer | None:
         """Return what is lent, None where this host may not lend."""
         now = self._clock.boottime()
-        lent = self._lent.get(part_of(ask.organisation))
+        part = part_of(ask.organisation, ask.half)
+        lent = self._lent.get(part)
         pace = self._pools.pace_of(ask.organisation)
         if lent is None or pace is None or now >= self._lease_until:
             return None
         issuer = lent.get(ask.organisation)
         if issuer is None:
-            began_at = self._began_at[part_of(ask.organisation)]
-            issuer = Issuer(began_at, pace.extra_share)
+            issuer = Issuer(self._began_at[part], pace.extra_share)
             lent[ask.organisation] = issuer
         share = issuer.ask(
             name,
@@ -134,7 +138,7 @@
         )
         if share is None:
             return None
-        return ShareAnswer(ask.organisation, ask.number, share)
+        return ShareAnswer(ask.organisation, ask.half, ask.number, share)
 
     def parts(self) -> list[str]:
         """Return the parts that this host issues."""
--- a/jacinthfold/quota/messages.py
+++ b/jacinthfold/quota/messages.py
@@ -24,6 +24,7 @@
     """Ask the issuer for a share; say what is held until its answer."""
 
     organisation: str
+    half: int
     number: int
     held: float
     wanted: float
@@ -33,6 +34,7 @@
     """Lend a share in answer to a question."""
 
     organisation: str
+    half: int
     number: int
     share: float
 
--- a/jacinthfold/quota/office.py
+++ b/jacinthfold/quota/office.py
@@ -59,7 +59,7 @@
         self.post.put(sender, PermitAnswer(number, after_ms))
 
     def _ask_issuer(self, ask: ShareAsk) -> bool:
-        name = self.issuers.issuer_of(ask.organisation)
+        name = self.issuers.issuer_of(ask.organisation, ask.half)
         own = self._hosts.own
         if name == own.name:
             lent = self.issuers.answer(own.name, own.incarnation, ask)
--- a/jacinthfold/quota/pool.py
+++ b/jacinthfold/quota/pool.py
@@ -8,7 +8,7 @@
 from collections import deque
 from collections.abc import Callable
 
-from jacinthfold.quota.bounds import Pace
+from jacinthfold.quota.bounds import HALVES, Pace
 from jacinthfold.quota.bucket import Bucket
 from jacinthfold.quota.demand import Demand
 from jacinthfold.quota.share import Share
@@ -41,12 +41,13 @@
 class OrganisationPool:
     """Hold the tokens of one organisation in one region."""
 
-    __slots__ = ('_bucket', '_waiting', 'demand', 'pace', 'share')
+    __slots__ = ('_bucket', '_waiting', 'demand', 'pace', 'shares')
 
     def __init__(self, pace: Pace, now: float) -> None:
         """Start empty and without a share."""
         self.pace = pace
-        self.share = Share()
+        # Of each half of the cap.
+        self.shares = tuple(Share() for _ in range(HALVES))
         self.demand = Demand(now)
         self._bucket = Bucket(now)
         self._waiting: deque[_Waiting] = deque()
@@ -90,33 +91,41 @@
         self._refresh(now)
         self._bucket.give_back(cost, now)
 
-    def take_answer(self, number: int, share: float, now: float) -> None:
-        """Take a share that the issuer lends."""
+    def held(self, now: float) -> float:
+        """Return the share of the whole cap that may be spent now."""
+        return sum(one.held(now) for one in self.shares) / HALVES
+
+    def take_answer(
+        self, half: int, number: int, share: float, now: float
+    ) -> None:
+        """Take the share of a half that its issuer lends."""
         self._refresh(now)
-        if self.share.take(number, share, now):
+        if self.shares[half].take(number, share, now):
             self._set_rate(now)
 
     def wanted(self, now: float) -> float:
-        """Return the share that the demand of late asks for."""
+        """Return the share of each half that the demand of late asks for."""
         rate = self.demand.per_second(now) * DEMAND_MARGIN
         wanted = rate / self.pace.per_second + LEAST_WANTED_SHARE
         if self.pace.burst > 0:
             wanted += self.demand.largest(now) / self.pace.burst
-        return wanted
+        # An issuer that doesn't answer leaves its part to the other one.
+        lending = sum(one.held(now) > 0 for one in self.shares)
+        return wanted * HALVES / max(1, lending)
 
     def _is_first(self, now: float) -> bool:
         # The first request of a while asks for the share itself.
         is_short = len(self._waiting) < WAITING_LIMIT
-        return is_short and self.share.held(now) <= 0
+        return is_short and self.held(now) <= 0
 
     def _refresh(self, now: float) -> None:
-        if self._bucket.per_second and now >= self.share.ends_at:
-            self._bucket.fill(self.share.ends_at)
-            # What is left goes with the share: who holds it next fills anew.
-            self._bucket.set_rate(0.0, 0.0, now)
+        # What is left goes with a share: who holds it next fills anew.
+        for share in sorted(self.shares, key=_end):
+            if self._bucket.filled_at < share.ends_at <= now:
+                self._set_rate(share.ends_at)
 
     def _set_rate(self, now: float) -> None:
-        held = self.share.held(now)
+        held = self.held(now)
         self._bucket.set_rate(
             held * self.pace.per_second, held * self.pace.burst, now
         )
@@ -125,3 +134,7 @@
         if seconds == float('inf'):
             return RETURN_SECONDS
         return min(RETURN_LIMIT_SECONDS, max(seconds, WAIT_SECONDS))
+
+
+def _end(share: Share) -> float:
+    return share.ends_at
--- a/jacinthfold/quota/pools.py
+++ b/jacinthfold/quota/pools.py
@@ -13,7 +13,9 @@
 TICK_SECONDS = 0.02
 # A pool that is asked asks the issuer this often, one that rests less.
 RENEW_SECONDS = 0.25
-REST_RENEW_SECONDS = 1.0
+REST_RENEW_SECONDS = 0.8
+# Without any share it is asked again after the trip to another region.
+REASK_SECONDS = 0.13
 RESTS_AFTER_SECONDS = 1.5
 # A pool that nobody asked for this long is dropped; its share ends by itself.
 IDLE_SECONDS = 10.0
@@ -72,8 +74,8 @@
             decide(CROWDED_SECONDS)
             return
         pool.ask(cost, now, decide)
-        if pool.share.held(now) <= 0:
-            self._renew(name, pool, now)
+        if pool.held(now) <= 0:
+            self._renew(name, pool, now, REASK_SECONDS)
 
     def give_back(self, name: str, cost: float) -> None:
         """Take back what a request that did not run was granted."""
@@ -86,7 +88,7 @@
         pool = self._pools.get(answer.organisation)
         if pool is not None:
             now = self._clock.boottime()
-            pool.take_answer(answer.number, answer.share, now)
+            pool.take_answer(answer.half, answer.number, answer.share, now)
             pool.serve_waiting(now)
 
     async def run(self) -> None:
@@ -101,8 +103,7 @@
         """Return the shares that are held here."""
         now = self._clock.boottime()
         return {
-            name: round(pool.share.held(now), 3)
-            for name, pool in self._pools.items()
+            name: round(pool.held(now), 3) for name, pool in self._pools.items()
         }
 
     def _keep(self, name: str, pool: OrganisationPool, now: float) -> None:
@@ -114,8 +115,7 @@
             return
         rests = idle_seconds > RESTS_AFTER_SECONDS
         pause = REST_RENEW_SECONDS if rests else RENEW_SECONDS
-        if now - pool.share.asked_at >= pause:
-            self._renew(name, pool, now)
+        self._renew(name, pool, now, pause)
 
     def _begin(self, name: str, now: float) -> OrganisationPool | None:
         pace = self.pace_of(name)
@@ -125,14 +125,21 @@
         self._pools[name] = pool
         return pool
 
-    def _renew(self, name: str, pool: OrganisationPool, now: float) -> None:
-        if now - pool.share.asked_at < RENEW_SECONDS / 2:
-            return
-        held = pool.share.held(now)
-        number = pool.share.ask(now)
-        ask = ShareAsk(name, number, held, pool.wanted(now))
-        if not self.ask_issuer(ask):
-            self._note_no_issuer(name, now)
+    def _renew(
+        self,
+        name: str,
+        pool: OrganisationPool,
+        now: float,
+        pause_seconds: float,
+    ) -> None:
+        wanted = pool.wanted(now)
+        for half, share in enumerate(pool.shares):
+            if now - share.asked_at < pause_seconds:
+                continue
+            held = share.held(now)
+            ask = ShareAsk(name, half, share.ask(now), held, wanted)
+            if not self.ask_issuer(ask):
+                self._note_no_issuer(name, now)
 
     def _note_no_issuer(self, name: str, now: float) -> None:
         if now - self._told_at >= TOLD_SECONDS:
