--- a/jacinthfold/catalogue/follower.py
+++ b/jacinthfold/catalogue/follower.py
@@ -22,7 +22,13 @@
 # Changes come in clusters; one call then fetches several. Drained targets
 # must be obeyed within 3 s, so half a second is well inside.
 GATHER_SECONDS = 0.5
+# The same for a host that watches in case another one stops: what that one's
+# connection hangs for is covered well inside the shortest bound of 3 s.
+COVER_GATHER_SECONDS = 1.2
 RETRY_SECONDS = (0.2, 0.5)
+# After several calls in a row that failed: refused calls are priced too.
+LATE_RETRY_SECONDS = (0.7, 1.1)
+EARLY_RETRIES = 2
 # A host that is killed vanishes from the list within this time.
 LEASE_SECONDS = 4.0
 RENEW_SECONDS = 1.3
@@ -42,8 +48,11 @@
         self.heard_at = -1.0
         self.is_reached = False
         self._is_watching = True
+        self._failed_count = 0
         # Whether this host watches the store, or leaves that to neighbours.
         self.watches: Callable[[], bool] = lambda: True
+        # Whether it watches only in case that another one stops.
+        self.covers: Callable[[], bool] = _never
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -57,7 +66,7 @@
                 self._is_listed = False
             except MetadataError as error:
                 self._note_lost(error)
-                await asyncio.sleep(random.uniform(*RETRY_SECONDS))
+                await asyncio.sleep(self._retry_seconds())
 
     async def _step(self) -> None:
         if not self._is_listed:
@@ -83,7 +92,10 @@
             # Without changes it proves nothing: a store that drops its history
             # lets watches wait while things change.
             self._catalogue.freshness.note(asked_at, revision)
-            await asyncio.sleep(GATHER_SECONDS)
+            is_cover = self.covers()
+            await asyncio.sleep(
+                COVER_GATHER_SECONDS if is_cover else GATHER_SECONDS
+            )
 
     def _note_watching(self, *, is_watching: bool) -> None:
         if is_watching is not self._is_watching:
@@ -94,7 +106,15 @@
                 revision=self._catalogue.revision,
             )
 
+    def _retry_seconds(self) -> float:
+        self._failed_count += 1
+        is_early = self._failed_count <= EARLY_RETRIES
+        return random.uniform(
+            *(RETRY_SECONDS if is_early else LATE_RETRY_SECONDS)
+        )
+
     def _note_reached(self) -> None:
+        self._failed_count = 0
         self.heard_at = self._clock.monotonic()
         if not self.is_reached:
             self.is_reached = True
@@ -156,3 +176,7 @@
             self._own.name, encode_host(self._own), lease
         )
         self._lease = lease
+
+
+def _never() -> bool:
+    return False
--- a/jacinthfold/catalogue/prover.py
+++ b/jacinthfold/catalogue/prover.py
@@ -1,6 +1,7 @@
 """Ask the store how far it is when nothing else proves what is known."""
 
 import asyncio
+import random
 from collections.abc import Callable
 
 from jacinthfold import logs
@@ -9,6 +10,9 @@
 from jacinthfold.clock import Clock
 
 CHECK_SECONDS = 0.4
+# After a call that failed: each call is priced, also one that is refused, and
+# of a region's hosts one that is answered is enough.
+FAILED_SECONDS = (0.8, 1.4)
 # Watches of a busy store prove more often than this by themselves.
 WATCHER_AGE_SECONDS = 1.0
 # What neighbours prove travels by two heartbeats; older, nobody near knows.
@@ -46,6 +50,7 @@
                 await self._step()
             except MetadataError as error:
                 logs.warning('proof_failed', reason=str(error))
+                await asyncio.sleep(random.uniform(*FAILED_SECONDS))
 
     async def _step(self) -> None:
         freshness = self._catalogue.freshness
--- a/jacinthfold/fleet/watchers.py
+++ b/jacinthfold/fleet/watchers.py
@@ -25,11 +25,23 @@
 
     def own_watches(self) -> bool:
         """Tell whether this host is to watch now."""
-        own = self._hosts.own
-        if len(self._hosts.names_in(own.region)) < ALL_WATCH_HOSTS:
+        if self._all_watch():
             return True
+        return self._hosts.own.name in self._order()[:WATCHERS]
+
+    def own_covers(self) -> bool:
+        """Tell whether the own host watches in case the first one stops."""
+        return (
+            not self._all_watch() and self._order()[0] != self._hosts.own.name
+        )
+
+    def _all_watch(self) -> bool:
+        near = self._hosts.names_in(self._hosts.own.region)
+        return len(near) < ALL_WATCH_HOSTS
+
+    def _order(self) -> list[str]:
         # Only hosts that are heard and reach the store can watch for others:
         # when they fall silent or lose it, the next in order take over.
+        own = self._hosts.own
         able = self._hosts.reaching_store(own.data_centre)
-        order = rank(own.data_centre, {own.name, *able})
-        return own.name in order[:WATCHERS]
+        return rank(own.data_centre, {own.name, *able})
--- a/jacinthfold/gateway/knowledge.py
+++ b/jacinthfold/gateway/knowledge.py
@@ -86,6 +86,7 @@
         self.snapshots = Snapshots(self.hosts, self.catalogue, caller, clock)
         watchers = Watchers(self.hosts)
         self.follower.watches = watchers.own_watches
+        self.follower.covers = watchers.own_covers
         self.snapshots.watches = watchers.own_watches
         retries = settings.retries
         self.budgets = RetryBudgets(
--- a/jacinthfold/platform/documents.py
+++ b/jacinthfold/platform/documents.py
@@ -21,13 +21,6 @@
 HOST_PREFIX = 'hosts/'
 QUARANTINE_PREFIX = 'quarantine/'
 ISSUER_PREFIX = 'issuers/'
-LISTED_PREFIXES = (
-    'op/',
-    TARGET_PREFIX,
-    HOST_PREFIX,
-    QUARANTINE_PREFIX,
-    ISSUER_PREFIX,
-)
 # What reading a document of other shapes than expected may raise.
 MALFORMED_ERRORS = (
     ValueError,
--- a/jacinthfold/platform/store.py
+++ b/jacinthfold/platform/store.py
@@ -1,6 +1,5 @@
 """Call the platform's metadata store."""
 
-import asyncio
 import base64
 import json
 from collections.abc import Mapping
@@ -19,7 +18,6 @@
 from jacinthfold.platform.documents import (
     HOST_PREFIX,
     ISSUER_PREFIX,
-    LISTED_PREFIXES,
     QUARANTINE_PREFIX,
     ROUTES_KEY,
 )
@@ -44,14 +42,9 @@
 
     async def list_all(self) -> tuple[list[Record], int]:
         """Return all records of interest and a revision not above them."""
-        records: list[Record] = []
-        revisions = []
-        for listed, revision in await asyncio.gather(
-            *(self._list(prefix) for prefix in LISTED_PREFIXES)
-        ):
-            records.extend(listed)
-            revisions.append(revision)
-        return records, min(revisions)
+        # All keys at once: nearly all are of interest, and each call is
+        # priced, five for each start of a host.
+        return await self._list('')
 
     async def changes_since(
         self, revision: int, wait_seconds: float
--- a/jacinthfold/proxy/admission.py
+++ b/jacinthfold/proxy/admission.py
@@ -10,7 +10,7 @@
 from jacinthfold.proxy.metrics import ProxyMetrics
 from jacinthfold.proxy.progress import Progress
 from jacinthfold.quarantine.quarantine import Quarantine
-from jacinthfold.quota.permits import OverCap, Permit, Permits
+from jacinthfold.quota.permits import Permit, Permits
 
 # Hosts that know the store's state are named by the directory; a caller that
 # asks it again has one within this.
@@ -82,13 +82,11 @@
         if isinstance(answer, Permit):
             progress.permit = answer
             return True
-        is_over = isinstance(answer, OverCap)
-        reason = 'over_cap' if is_over else 'no_pool'
-        status = (
-            HTTPStatus.TOO_MANY_REQUESTS
-            if is_over
-            else HTTPStatus.SERVICE_UNAVAILABLE
-        )
+        # 503 where nobody can tell what the cap still allows: the
+        # organisation has not asked for too much.
+        reason, status = 'no_share', HTTPStatus.SERVICE_UNAVAILABLE
+        if answer.is_over:
+            reason, status = 'over_cap', HTTPStatus.TOO_MANY_REQUESTS
         progress.note_turned_away(reason, status, answer.after_seconds)
         self._metrics.turned_away.labels(reason).inc()
         logs.event(
--- a/jacinthfold/quota/bounds.py
+++ b/jacinthfold/quota/bounds.py
@@ -8,7 +8,10 @@
 # How long a lent share may be spent unless it is lent again. Long enough to
 # outlive a store that is away for some seconds, together with an issuer's
 # lease; what an issuer that takes over waits until it knows all holders.
-SHARE_SECONDS = 2.0
+SHARE_SECONDS = 1.5
+# What an issuer lends before it knows all holders ends so long after that: by
+# then each holder has asked again.
+EXTRA_MARGIN_SECONDS = 0.3
 # Issuers of one cap, on different hosts, each of which lends a half: a cap is
 # most of twice the usual, so that one issuer's loss costs little.
 HALVES = 2
@@ -17,13 +20,11 @@
 # Of what a window may hold beyond the steady rate, the part that buckets hold.
 # The rest is lent by an issuer that has just begun and does not know yet what
 # is still held from before.
-BURST_SHARE = 0.6
+BURST_SHARE = 0.4
 # A steady rate may use this much of what a window holds where it allows no
 # burst.
 STEADY_SHARE = 0.9
-# An issuer's first extra shares live until it knows all holders, and then for
-# as long as a holder that hears nothing goes on.
-_EXTRA_SECONDS = 2 * SHARE_SECONDS
+_EXTRA_SECONDS = SHARE_SECONDS + EXTRA_MARGIN_SECONDS
 
 
 class Window:
--- a/jacinthfold/quota/issuer.py
+++ b/jacinthfold/quota/issuer.py
@@ -1,6 +1,6 @@
 """Lend shares of one organisation's cap so that they never exceed it."""
 
-from jacinthfold.quota.bounds import SHARE_SECONDS
+from jacinthfold.quota.bounds import EXTRA_MARGIN_SECONDS, SHARE_SECONDS
 
 # Kept for a pool that begins while the others hold all: a tenth of a cap.
 NEWCOMER_SHARE = 0.1
@@ -30,12 +30,23 @@
         ends = max((end for _, end in self._lent), default=now + SHARE_SECONDS)
         self._lent = [(share, ends)] if share else []
 
-    def lend(self, share: float, now: float) -> None:
-        self._lent.append((share, now + SHARE_SECONDS))
+    def lend(self, share: float, ends_at: float) -> None:
+        self._lent.append((share, ends_at))
+
+
+class Loan:
+    """Hold a share and for how long it is lent, from the question on."""
+
+    __slots__ = ('seconds', 'share')
+
+    def __init__(self, share: float, seconds: float) -> None:
+        """Take both."""
+        self.share = share
+        self.seconds = seconds
 
 
 class Issuer:
-    """Lend one cap."""
+    """Lend one half of a cap."""
 
     __slots__ = ('_extra_share', '_holders', '_known_from', '_lent_extra')
 
@@ -60,8 +71,8 @@
         held: float,
         wanted: float,
         now: float,
-    ) -> float | None:
-        """Return the share to lend, None for a question that came late."""
+    ) -> Loan | None:
+        """Return what is lent, None for a question that came late."""
         holder = self._holder(name, life)
         if holder is None or number <= holder.number:
             return None
@@ -70,9 +81,10 @@
         holder.wanted = wanted
         holder.wanted_until = now + SHARE_SECONDS
         share = min(self._target(holder, now), self._most(holder, held, now))
-        holder.lend(share, now)
+        seconds = self._seconds(now)
+        holder.lend(share, now + seconds)
         self._drop_old(now)
-        return share
+        return Loan(share, seconds)
 
     def _holder(self, name: str, life: int) -> _Holder | None:
         known = self._holders.get(name)
@@ -94,6 +106,13 @@
         others = self.lent(now) - holder.outstanding(now)
         return max(0.0, _WHOLE - others)
 
+    def _seconds(self, now: float) -> float:
+        # What is lent before all holders are known must end soon after.
+        if now >= self._known_from:
+            return SHARE_SECONDS
+        left = self._known_from - now + EXTRA_MARGIN_SECONDS
+        return min(SHARE_SECONDS, left)
+
     def _target(self, holder: _Holder, now: float) -> float:
         """Return the part that is fair by what all ask for."""
         wants = [
--- a/jacinthfold/quota/issuers.py
+++ b/jacinthfold/quota/issuers.py
@@ -128,7 +128,7 @@
         if issuer is None:
             issuer = Issuer(self._began_at[part], pace.extra_share)
             lent[ask.organisation] = issuer
-        share = issuer.ask(
+        loan = issuer.ask(
             name,
             life,
             ask.number,
@@ -136,9 +136,11 @@
             wanted=ask.wanted,
             now=now,
         )
-        if share is None:
+        if loan is None:
             return None
-        return ShareAnswer(ask.organisation, ask.half, ask.number, share)
+        return ShareAnswer(
+            ask.organisation, ask.half, ask.number, loan.share, loan.seconds
+        )
 
     def parts(self) -> list[str]:
         """Return the parts that this host issues."""
--- a/jacinthfold/quota/messages.py
+++ b/jacinthfold/quota/messages.py
@@ -18,6 +18,8 @@
 
     number: int
     after_ms: int | None
+    # Whether the cap is spent, or the pool doesn't know what it may spend.
+    is_over: bool = False
 
 
 class ShareAsk(msgspec.Struct, array_like=True):
@@ -37,6 +39,8 @@
     half: int
     number: int
     share: float
+    # From the question on.
+    seconds: float
 
 
 class Returned(msgspec.Struct, array_like=True):
--- a/jacinthfold/quota/office.py
+++ b/jacinthfold/quota/office.py
@@ -9,6 +9,7 @@
 from jacinthfold.quota.issuers import Issuers
 from jacinthfold.quota.messages import PermitAnswer, ShareAsk, decode
 from jacinthfold.quota.permits import Permits
+from jacinthfold.quota.pool import TurnedAway
 from jacinthfold.quota.pools import Pools
 from jacinthfold.quota.post import Place, Post
 
@@ -51,12 +52,13 @@
             self.pools.give_back(returned.organisation, returned.cost)
 
     def _answer(
-        self, sender: Place, number: int, after_seconds: float | None
+        self, sender: Place, number: int, turned_away: TurnedAway | None
     ) -> None:
-        after_ms = None
-        if after_seconds is not None:
-            after_ms = int(after_seconds * _MS) + 1
-        self.post.put(sender, PermitAnswer(number, after_ms))
+        answer = PermitAnswer(number, None)
+        if turned_away is not None:
+            answer.after_ms = int(turned_away.after_seconds * _MS) + 1
+            answer.is_over = turned_away.is_over
+        self.post.put(sender, answer)
 
     def _ask_issuer(self, ask: ShareAsk) -> bool:
         name = self.issuers.issuer_of(ask.organisation, ask.half)
--- a/jacinthfold/quota/permits.py
+++ b/jacinthfold/quota/permits.py
@@ -11,7 +11,7 @@
 from jacinthfold.hashing import rank
 from jacinthfold.quota.bounds import PERMIT_SECONDS
 from jacinthfold.quota.messages import PermitAnswer, PermitAsk, Returned
-from jacinthfold.quota.pool import WAIT_SECONDS
+from jacinthfold.quota.pool import WAIT_SECONDS, TurnedAway
 from jacinthfold.quota.pools import Pools
 from jacinthfold.quota.post import Post
 
@@ -44,27 +44,7 @@
         self.lapses_at = lapses_at
 
 
-class OverCap:
-    """Say that a request lies beyond its organisation's cap."""
-
-    __slots__ = ('after_seconds',)
-
-    def __init__(self, after_seconds: float) -> None:
-        """Take when there may be room."""
-        self.after_seconds = after_seconds
-
-
-class Unanswered:
-    """Say that no pool could be asked."""
-
-    __slots__ = ('after_seconds',)
-
-    def __init__(self) -> None:
-        """Tell when to return."""
-        self.after_seconds = UNANSWERED_SECONDS
-
-
-Answer = Permit | OverCap | Unanswered
+Answer = Permit | TurnedAway
 
 
 class Permits:
@@ -80,9 +60,9 @@
         self._clock = clock
         # Answers to questions of an earlier life must not match.
         self._number = random.getrandbits(48)
-        self._open: dict[int, asyncio.Future[float | None]] = {}
+        self._open: dict[int, asyncio.Future[TurnedAway | None]] = {}
         self._orders: dict[str, tuple[float, list[str]]] = {}
-        self._refused: dict[str, tuple[float, int]] = {}
+        self._refused: dict[str, _Refused] = {}
 
     async def acquire(self, organisation: str, cost: int) -> Answer:
         """Return a permit, or why there is none."""
@@ -90,10 +70,10 @@
         if refused is not None:
             return refused
         pools = list(self._order(organisation))
-        answer: Answer = Unanswered()
-        while pools and isinstance(answer, Unanswered):
+        answer = None
+        while pools and answer is None:
             answer = await self._ask_pool(pools.pop(0), organisation, cost)
-        return answer
+        return answer or TurnedAway(UNANSWERED_SECONDS, is_over=False)
 
     def is_valid(self, permit: Permit | None) -> bool:
         """Tell whether a permit may be used now."""
@@ -114,26 +94,26 @@
         """Take a pool's answer; one that comes too late finds nobody."""
         waiting = self._open.get(answer.number)
         if waiting is not None and not waiting.done():
-            after = answer.after_ms
-            waiting.set_result(None if after is None else after / _MS)
+            waiting.set_result(_turned_away(answer))
 
     async def _ask_pool(
         self, name: str, organisation: str, cost: int
-    ) -> Answer:
+    ) -> Answer | None:
         asked_at = self._clock.boottime()
         try:
-            after = await self._ask(name, organisation, cost)
+            turned_away = await self._ask(name, organisation, cost)
         except TimeoutError:
             logs.event('pool_silent', organisation=organisation, pool=name)
-            return Unanswered()
-        if after is not None:
-            return self._over(organisation, cost, after)
+            return None
+        if turned_away is not None:
+            self._remember(organisation, cost, turned_away)
+            return turned_away
         lapses_at = asked_at + PERMIT_SECONDS
         return Permit(organisation, cost, name, lapses_at)
 
     async def _ask(
         self, name: str, organisation: str, cost: int
-    ) -> float | None:
+    ) -> TurnedAway | None:
         waiting = asyncio.get_running_loop().create_future()
         self._number += 1
         number = self._number
@@ -165,21 +145,45 @@
             self._orders[organisation] = known
         return known[1]
 
-    def _refused_lately(self, organisation: str, cost: int) -> OverCap | None:
-        until, refused_cost = self._refused.get(organisation, (0.0, 0))
-        left = until - self._clock.boottime()
-        if left <= 0 or cost < refused_cost:
+    def _refused_lately(
+        self, organisation: str, cost: int
+    ) -> TurnedAway | None:
+        known = self._refused.get(organisation)
+        if known is None or cost < known.cost:
             return None
-        return OverCap(max(left, REFUSED_SECONDS))
+        now = self._clock.boottime()
+        return known.turned_away if now < known.until else None
+
+    def _remember(
+        self, organisation: str, cost: int, turned_away: TurnedAway
+    ) -> None:
+        seconds = min(turned_away.after_seconds, REFUSED_SECONDS)
+        until = self._clock.boottime() + seconds
+        self._refused[organisation] = _Refused(turned_away, cost, until)
+
+
+class _Refused:
+    """Hold a refusal that also holds for what is as large."""
+
+    __slots__ = ('cost', 'turned_away', 'until')
+
+    def __init__(
+        self, turned_away: TurnedAway, cost: int, until: float
+    ) -> None:
+        self.turned_away = turned_away
+        self.cost = cost
+        self.until = until
+
 
-    def _over(self, organisation: str, cost: int, after: float) -> OverCap:
-        until = self._clock.boottime() + min(after, REFUSED_SECONDS)
-        self._refused[organisation] = (until, cost)
-        return OverCap(after)
+def _turned_away(answer: PermitAnswer) -> TurnedAway | None:
+    if answer.after_ms is None:
+        return None
+    return TurnedAway(answer.after_ms / _MS, is_over=answer.is_over)
 
 
 def _decide(
-    waiting: asyncio.Future[float | None], after_seconds: float | None
+    waiting: asyncio.Future[TurnedAway | None],
+    turned_away: TurnedAway | None,
 ) -> None:
     if not waiting.done():
-        waiting.set_result(after_seconds)
+        waiting.set_result(turned_away)
--- a/jacinthfold/quota/pool.py
+++ b/jacinthfold/quota/pool.py
@@ -11,6 +11,7 @@
 from jacinthfold.quota.bounds import HALVES, Pace
 from jacinthfold.quota.bucket import Bucket
 from jacinthfold.quota.demand import Demand
+from jacinthfold.quota.messages import ShareAnswer
 from jacinthfold.quota.share import Share
 
 # What fits within this waits: less than the trip to a refusal and back.
@@ -23,8 +24,22 @@
 # When a return may meet tokens, where the bucket doesn't tell.
 RETURN_SECONDS = 0.5
 RETURN_LIMIT_SECONDS = 4.0
+# The same while there is no share: an issuer's successor takes a second or two.
+NO_SHARE_SECONDS = 1.0
 
-Verdict = Callable[[float | None], None]
+
+class TurnedAway:
+    """Say that a request may not run now."""
+
+    __slots__ = ('after_seconds', 'is_over')
+
+    def __init__(self, after_seconds: float, *, is_over: bool) -> None:
+        """Take when to return, and whether the cap is spent."""
+        self.after_seconds = after_seconds
+        self.is_over = is_over
+
+
+Verdict = Callable[[TurnedAway | None], None]
 
 
 class _Waiting:
@@ -60,7 +75,7 @@
     def ask(self, cost: float, now: float, decide: Verdict) -> None:
         """Decide on a request, now or within the longest wait.
 
-        Called with None when it may run, else with seconds until a return.
+        Called with None when it may run.
         """
         self.demand.note(cost, now)
         self._refresh(now)
@@ -72,7 +87,7 @@
         if seconds <= WAIT_SECONDS or self._is_first(now):
             self._waiting.append(_Waiting(cost, now + WAIT_SECONDS, decide))
             return
-        decide(self._return_seconds(seconds))
+        decide(self._turned_away(seconds, now))
 
     def serve_waiting(self, now: float) -> None:
         """Let those through whose tokens have come, and end long waits."""
@@ -84,7 +99,7 @@
                 return
             self._waiting.popleft()
             seconds = self._bucket.seconds_until(first.cost, now)
-            first.decide(None if is_served else self._return_seconds(seconds))
+            first.decide(None if is_served else self._turned_away(seconds, now))
 
     def give_back(self, cost: float, now: float) -> None:
         """Take back tokens whose request did not run."""
@@ -95,12 +110,11 @@
         """Return the share of the whole cap that may be spent now."""
         return sum(one.held(now) for one in self.shares) / HALVES
 
-    def take_answer(
-        self, half: int, number: int, share: float, now: float
-    ) -> None:
+    def take_answer(self, answer: ShareAnswer, now: float) -> None:
         """Take the share of a half that its issuer lends."""
         self._refresh(now)
-        if self.shares[half].take(number, share, now):
+        share = self.shares[answer.half]
+        if share.take(answer.number, answer.share, answer.seconds, now):
             self._set_rate(now)
 
     def wanted(self, now: float) -> float:
@@ -130,10 +144,13 @@
             held * self.pace.per_second, held * self.pace.burst, now
         )
 
-    def _return_seconds(self, seconds: float) -> float:
+    def _turned_away(self, seconds: float, now: float) -> TurnedAway:
+        if self.held(now) <= 0:
+            return TurnedAway(NO_SHARE_SECONDS, is_over=False)
         if seconds == float('inf'):
-            return RETURN_SECONDS
-        return min(RETURN_LIMIT_SECONDS, max(seconds, WAIT_SECONDS))
+            seconds = RETURN_SECONDS
+        after = min(RETURN_LIMIT_SECONDS, max(seconds, WAIT_SECONDS))
+        return TurnedAway(after, is_over=True)
 
 
 def _end(share: Share) -> float:
--- a/jacinthfold/quota/pools.py
+++ b/jacinthfold/quota/pools.py
@@ -8,7 +8,7 @@
 from jacinthfold.clock import Clock
 from jacinthfold.quota.bounds import Pace, Window
 from jacinthfold.quota.messages import ShareAnswer, ShareAsk
-from jacinthfold.quota.pool import OrganisationPool, Verdict
+from jacinthfold.quota.pool import OrganisationPool, TurnedAway, Verdict
 
 TICK_SECONDS = 0.02
 # A pool that is asked asks the issuer this often, one that rests less.
@@ -71,7 +71,7 @@
         if pool is None:
             pool = self._begin(name, now)
         if pool is None:
-            decide(CROWDED_SECONDS)
+            decide(TurnedAway(CROWDED_SECONDS, is_over=False))
             return
         pool.ask(cost, now, decide)
         if pool.held(now) <= 0:
@@ -88,7 +88,7 @@
         pool = self._pools.get(answer.organisation)
         if pool is not None:
             now = self._clock.boottime()
-            pool.take_answer(answer.half, answer.number, answer.share, now)
+            pool.take_answer(answer, now)
             pool.serve_waiting(now)
 
     async def run(self) -> None:
--- a/jacinthfold/quota/share.py
+++ b/jacinthfold/quota/share.py
@@ -1,7 +1,5 @@
 """Hold a share of a cap that is lent for a few seconds."""
 
-from jacinthfold.quota.bounds import SHARE_SECONDS
-
 
 class Share:
     """Hold what a pool may spend, and the question that it waits on.
@@ -40,12 +38,14 @@
         self._asked_at = now
         return self._ask_number
 
-    def take(self, number: int, share: float, now: float) -> bool:
+    def take(
+        self, number: int, share: float, seconds: float, now: float
+    ) -> bool:
         """Take an answer; tell whether it changed what is held."""
         if number != self._ask_number or now < self._asked_at:
             return False
         # From the question on: the issuer counts from when it came.
         self._held = share
-        self._ends_at = self._asked_at + SHARE_SECONDS
+        self._ends_at = self._asked_at + seconds
         self.answered_at = now
         return True
--- a/tests/gateway/test_quota.py
+++ b/tests/gateway/test_quota.py
@@ -8,6 +8,7 @@
 
 from jacinthfold.organisations.model import Cap
 from jacinthfold.quota.bounds import (
+    EXTRA_MARGIN_SECONDS,
     HALVES,
     PERMIT_SECONDS,
     SHARE_SECONDS,
@@ -15,6 +16,7 @@
     Window,
 )
 from jacinthfold.quota.issuer import Issuer
+from jacinthfold.quota.messages import ShareAnswer
 from jacinthfold.quota.pool import WAIT_SECONDS, OrganisationPool
 
 WINDOW = Window(8, 0.1, 140000)
@@ -37,6 +39,10 @@
     return owed * (1 + window.excess) + window.slack
 
 
+def answer(half, number, share, seconds=SHARE_SECONDS):
+    return ShareAnswer('o', half, number, share, seconds)
+
+
 class Holder:
     """Hold one pool of a simulated region; its process may start again."""
 
@@ -102,7 +108,7 @@
             # An issuer that was replaced answers nothing any more.
             if issuer is not self.issuers[half]:
                 return
-            share = issuer.ask(
+            loan = issuer.ask(
                 holder.name,
                 life,
                 number,
@@ -110,12 +116,13 @@
                 wanted=wanted,
                 now=self.now,
             )
-            if share is not None:
-                self.post(lambda: come_back(share), holder.name)
+            if loan is not None:
+                self.post(lambda: come_back(loan), holder.name)
 
-        def come_back(share):
+        def come_back(loan):
             if holder.life == life:
-                pool.take_answer(half, number, share, self.now)
+                made = answer(half, number, loan.share, loan.seconds)
+                pool.take_answer(made, self.now)
 
         self.post(arrive, holder.name)
 
@@ -261,9 +268,9 @@
     pool = OrganisationPool(Pace(cap(36000), WINDOW), 0.0)
     first = pool.shares[0].ask(0.0)
     second = pool.shares[0].ask(0.5)
-    pool.take_answer(0, first, 0.8, 0.6)
+    pool.take_answer(answer(0, first, 0.8), 0.6)
     assert pool.shares[0].held(0.6) == 0
-    pool.take_answer(0, second, 0.2, 0.7)
+    pool.take_answer(answer(0, second, 0.2), 0.7)
     assert pool.shares[0].held(0.7) == 0.2
 
 
@@ -272,11 +279,12 @@
     issuer = Issuer(0.0, 0.0)
     now = 2 * SHARE_SECONDS
     first = issuer.ask('a', 1, 1, held=0, wanted=1, now=now)
-    assert first == pytest.approx(0.9)
+    assert first.share == pytest.approx(0.9)
     lent = issuer.ask('b', 1, 1, held=0, wanted=1, now=now + 1)
-    assert lent == pytest.approx(0.1)
+    assert lent.share == pytest.approx(0.1)
     later = now + SHARE_SECONDS + 0.1
-    assert issuer.ask('b', 1, 2, held=0.1, wanted=1, now=later) > 0.8
+    last = issuer.ask('b', 1, 2, held=0.1, wanted=1, now=later)
+    assert last.share > 0.8
 
 
 def test_new_issuer_lends_nothing_that_may_be_held():
@@ -287,10 +295,12 @@
     room for.
     """
     issuer = Issuer(10.0, 0.1)
-    assert issuer.ask('a', 1, 7, held=0.4, wanted=1, now=10.5) == pytest.approx(
-        0.5
-    )
-    assert issuer.ask('b', 1, 3, held=0, wanted=1, now=10.6) == 0
+    first = issuer.ask('a', 1, 7, held=0.4, wanted=1, now=10.5)
+    assert first.share == pytest.approx(0.5)
+    # What may be lent twice ends as soon as all holders are known.
+    assert first.seconds < SHARE_SECONDS
+    other = issuer.ask('b', 1, 3, held=0, wanted=1, now=10.6)
+    assert other.share == 0
 
 
 def test_restarted_pool_holds_nothing():
@@ -298,7 +308,7 @@
     now = 2 * SHARE_SECONDS
     issuer.ask('a', 1, 1, held=0, wanted=1, now=now)
     # A question of the process before, late on its way, counts no more.
-    assert issuer.ask('a', 2, 1, held=0, wanted=1, now=now + 1) > 0.8
+    assert issuer.ask('a', 2, 1, held=0, wanted=1, now=now + 1).share > 0.8
     assert issuer.ask('a', 1, 2, held=0.9, wanted=1, now=now + 1) is None
     assert issuer.lent(now + 1) <= 1
 
@@ -315,7 +325,8 @@
     window = Window(seconds, excess, slack)
     pace = Pace(cap(per_second, burst), window)
     span = seconds + PERMIT_SECONDS
-    extra = pace.extra_share * pace.per_second * 2 * SHARE_SECONDS
+    seconds = SHARE_SECONDS + EXTRA_MARGIN_SECONDS
+    extra = pace.extra_share * pace.per_second * seconds
     most = pace.per_second * span + pace.burst + extra
     assert 0 < pace.per_second <= per_second
     assert most <= allowed(per_second, burst, window)
@@ -329,7 +340,7 @@
 
 def renew(pool, now, share=0.9):
     for half, one in enumerate(pool.shares):
-        pool.take_answer(half, one.ask(now), share, now)
+        pool.take_answer(answer(half, one.ask(now), share), now)
 
 
 def test_refusal_says_when_the_tokens_are_there():
@@ -338,7 +349,8 @@
     told = []
     renew(pool, 0.1)
     pool.ask(30000, 0.1, told.append)
-    after = told[0]
+    assert told[0].is_over
+    after = told[0].after_seconds
     rate = 0.9 * pool.pace.per_second
     assert after == pytest.approx((30000 - 0.1 * rate) / rate, rel=0.01)
 
@@ -360,7 +372,8 @@
     pool.serve_waiting(WAIT_SECONDS / 2)
     assert not told
     pool.serve_waiting(WAIT_SECONDS + 0.01)
-    assert told[0] > 0
+    assert not told[0].is_over
+    assert told[0].after_seconds > 0
 
 
 def test_tokens_end_with_the_share():
@@ -369,7 +382,7 @@
     told = []
     pool.ask(2400, SHARE_SECONDS + 1, told.append)
     pool.serve_waiting(SHARE_SECONDS + 1 + WAIT_SECONDS)
-    assert told[0] is not None
+    assert not told[0].is_over
 
 
 def test_tokens_of_a_request_that_did_not_run_come_back():
@@ -402,7 +415,7 @@
     pool = lent_pool()
     now = SHARE_SECONDS + 1
     one = pool.shares[0]
-    pool.take_answer(0, one.ask(now), 0.9, now)
+    pool.take_answer(answer(0, one.ask(now), 0.9), now)
     assert pool.held(now) == pytest.approx(0.45)
     before = OrganisationPool(pool.pace, now)
     for other in (pool, before):
