A permit is had before the choice, not after it

Logs of all hosts of the region: one host paced the engine, and two sends 2 ms apart. Cause: while a request waited for its permit others chose the same engine, none yet counted. The permit now comes first, and goes back if no choice follows. The test sends ten at once: ten before, one now.

--- a/jacinthfold/proxy/forwarding.py
+++ b/jacinthfold/proxy/forwarding.py
@@ -89,6 +89,10 @@
         """Decide, and make one attempt; tell whether another may follow."""
         if self._admission.is_barred(request, progress):
             return False
+        # Before the choice: while one request waits for its permit others
+        # would choose the same cold target, each as the first in its pace.
+        if not await self._admission.is_permitted(request, progress):
+            return False
         choice = self._placer.choose(
             request, progress.tried, progress.tried_regions
         )
@@ -98,8 +102,6 @@
             return False
         if not self._may_send(request, progress):
             return False
-        if not await self._admission.is_permitted(request, progress):
-            return False
         return await self._try_once(request, answer, progress, choice)
 
     async def _try_once(
--- /dev/null
+++ b/tests/gateway/test_permit_order.py
@@ -0,0 +1,131 @@
+"""Requests that wait for their permit, in front of a cold engine."""
+
+import asyncio
+
+from jacinthfold.placement.budget import RetryBudgets
+from jacinthfold.proxy.admission import Admission
+from jacinthfold.proxy.forwarding import Forwarder
+from jacinthfold.proxy.key_gate import KeyGate
+from jacinthfold.proxy.metrics import ProxyMetrics
+from jacinthfold.proxy.outcome import Ending, Outcome
+from jacinthfold.quarantine.quarantine import Quarantine
+from jacinthfold.quota.permits import Permit
+from tests.gateway.test_freshness import KEY, digest_of
+from tests.gateway.test_organisations import document, record, tenant
+from tests.gateway.test_placement import Scene
+from tests.gateway.test_translation import catalogue
+
+
+class SlowPermits:
+    """Grant every permit after other tasks have run."""
+
+    def __init__(self):
+        self.returned = []
+
+    async def acquire(self, organisation, cost):
+        for _ in range(5):
+            await asyncio.sleep(0)
+        return Permit(organisation, cost, 'pool', 1e9)
+
+    def is_valid(self, permit):
+        return permit is not None
+
+    def give_back(self, permit):
+        if permit is not None:
+            self.returned.append(permit)
+
+
+class Attempts:
+    """Keep what is sent, and never end."""
+
+    def __init__(self):
+        self.sent = []
+
+    async def at_target(self, request, answer, progress, estimate):
+        self.sent.append(request)
+        return Outcome(Ending.UNKNOWN, 'gone')
+
+
+class Answer:
+    """Keep the status of an answer."""
+
+    def __init__(self):
+        self.status = 0
+        self.has_started = False
+        self.is_finished = False
+
+    async def whole(self, status, headers, body):
+        self.status = status
+        self.is_finished = True
+
+
+class Dialect:
+    """Write no headers."""
+
+    def own_headers(self, request_id):
+        return []
+
+    def retry_headers(self, after_seconds):
+        return []
+
+
+def forwarder(scene, permits, attempts):
+    made, _ = catalogue(scene.clock)
+    capped = tenant('north', KEY, **{'rate-per-s': 1000, 'burst': 1000})
+    made.apply([record(document(capped), 1)], 1)
+    quarantine = Quarantine(scene.targets, None, scene.clock)
+    metrics = ProxyMetrics()
+    admission = Admission(KeyGate(made, None), quarantine, permits, metrics)
+    return made, Forwarder(
+        scene.placer,
+        attempts,
+        RetryBudgets(0.2, 10, 10, scene.clock),
+        quarantine,
+        admission,
+        Dialect(),
+        metrics,
+        scene.clock,
+    )
+
+
+def serve_together(count, scene, permits, attempts):
+    """Serve requests that come at once; return their answers."""
+    made, serving = forwarder(scene, permits, attempts)
+
+    async def serve():
+        answers = [Answer() for _ in range(count)]
+        requests = [scene.request(max_attempts=1) for _ in answers]
+        for request in requests:
+            request.facts.key_digest = digest_of(KEY.encode())
+            request.organisation = made.routes.organisations.named('north')
+        await asyncio.gather(
+            *(
+                serving.serve(request, answer)
+                for request, answer in zip(requests, answers, strict=True)
+            )
+        )
+        return answers
+
+    return asyncio.run(serve())
+
+
+def test_requests_that_wait_for_permits_don_t_push_a_cold_engine():
+    """Ten requests come at once for an engine that stands three in a second.
+
+    Each waits a moment for its permit. Had it chosen before, all ten would go
+    to the engine at once, since none had been counted when the next one chose.
+    """
+    scene = Scene()
+    scene.add('i-1', cold_seconds=5.0)
+    scene.clock.advance(3)
+    permits, attempts = SlowPermits(), Attempts()
+    serve_together(10, scene, permits, attempts)
+    assert len(attempts.sent) == 1
+
+
+def test_permit_of_a_refused_request_is_returned():
+    scene = Scene()
+    permits, attempts = SlowPermits(), Attempts()
+    answers = serve_together(3, scene, permits, attempts)
+    assert {one.status for one in answers} == {503}
+    assert len(permits.returned) == 3
