--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -16,13 +16,21 @@
 from tools.ablations.fleet import LARGE_FLEETS
 from tools.ablations.gateway import GATEWAY_HOSTS
 from tools.ablations.model import Ablation
+from tools.ablations.organisations import ORGANISATIONS
 from tools.ablations.quarantine import QUARANTINE
 from tools.ablations.serve import SERVE
 
 ROOT = Path(__file__).resolve().parent.parent
 COPIED = ('jacinthfold', 'tests', 'tools', 'pyproject.toml', 'KNOWN-RED.txt')
 
-ABLATIONS = [*SERVE, *GATEWAY_HOSTS, *DECISIONS, *LARGE_FLEETS, *QUARANTINE]
+ABLATIONS = [
+    *SERVE,
+    *GATEWAY_HOSTS,
+    *DECISIONS,
+    *LARGE_FLEETS,
+    *QUARANTINE,
+    *ORGANISATIONS,
+]
 
 
 def copy_without(ablation: Ablation, folder: Path) -> None:
--- a/tools/ablations/decisions.py
+++ b/tools/ablations/decisions.py
@@ -92,8 +92,8 @@
         [
             (
                 'placement/targets.py',
-                'load = loads.get(target.record.life)',
-                "load = loads.get(f'{target.record.instance}/1790000000000')",
+                'for life, load in loads.items():\n            target = self._by_life.get(life)',
+                "for life, load in loads.items():\n            target = self._by_life.get(f'{life.split(chr(47))[0]}/1790000000000')",
             ),
         ],
         GATEWAY + 'test_rebirth.py',
--- a/tools/ablations/gateway.py
+++ b/tools/ablations/gateway.py
@@ -81,8 +81,8 @@
         [
             (
                 'fleet/table.py',
-                '            and entry.reaches_store',
-                '            and entry.record',
+                '            and entry.status.reaches_store\n            and entry.state',
+                '            and entry.state',
             ),
         ],
         GATEWAY
--- /dev/null
+++ b/tools/ablations/organisations.py
@@ -0,0 +1,192 @@
+"""Safeguards of keys, of their end, and of caps."""
+
+from tools.ablations.model import Ablation
+
+KEYS = 'tests/gateway/test_organisations.py::'
+FRESH = 'tests/gateway/test_freshness.py::'
+QUOTA = 'tests/gateway/test_quota.py::'
+ORDER = 'tests/gateway/test_permit_order.py::'
+WINDOWS = QUOTA + 'test_no_window_holds_more_than_the_rules_allow'
+
+ORGANISATIONS = [
+    Ablation(
+        'keys: none goes on to a target',
+        [
+            (
+                'gateway/handlers.py',
+                'work.headers = self._dialect.without_credentials(work.headers)',
+                'pass',
+            )
+        ],
+        KEYS + 'test_target_is_told_who_calls_and_never_the_key',
+    ),
+    Ablation(
+        'keys: of two keys none is read',
+        [
+            (
+                'organisations/credentials.py',
+                'if len(credentials) != 1:',
+                'if not credentials:',
+            )
+        ],
+        KEYS + 'test_digest_is_of_the_one_bearer_key',
+    ),
+    Ablation(
+        'keys: one is held by one organisation',
+        [
+            (
+                'organisations/model.py',
+                'if holder is not organisation:',
+                'if False:',
+            )
+        ],
+        KEYS + 'test_configuration_nobody_can_follow_changes_nothing',
+    ),
+    Ablation(
+        'homes: those of the organisation bind too',
+        [
+            (
+                'proxy/messages.py',
+                'return homes & own if homes and own else homes or own',
+                'return homes',
+            )
+        ],
+        KEYS + 'test_homes_of_route_and_organisation_both_bind',
+    ),
+    Ablation(
+        'revocation: no key is served past the bound',
+        [
+            (
+                'proxy/key_gate.py',
+                'return self.age_seconds <= self._bound_seconds - MARGIN_SECONDS',
+                'return True',
+            )
+        ],
+        FRESH + 'test_host_without_the_store_serves_no_key_past_the_bound',
+    ),
+    Ablation(
+        'revocation: looked at again before each send',
+        [
+            (
+                'proxy/key_gate.py',
+                'return None if is_same else Barrier.REVOKED',
+                'return None',
+            )
+        ],
+        FRESH + 'test_request_whose_key_went_while_it_waited_is_not_sent',
+    ),
+    Ablation(
+        'revocation: a proof counts from the question',
+        [
+            (
+                'fleet/proofs.py',
+                'self._freshness.note(sent_at - proof[0] / _MS, proof[1])',
+                'self._freshness.note(self._clock.boottime() - proof[0] / _MS, proof[1])',
+            )
+        ],
+        FRESH + 'test_proof_does_not_grow_young_on_its_way',
+    ),
+    Ablation(
+        'revocation: numbers of an earlier life prove nothing',
+        [
+            (
+                'fleet/proofs.py',
+                'if proof is None or heard is None or heard[0] != self._life:',
+                'if proof is None or heard is None:',
+            )
+        ],
+        FRESH + 'test_number_of_an_earlier_life_proves_nothing',
+    ),
+    Ablation(
+        'revocation: a store that is ahead proves nothing yet',
+        [('catalogue/freshness.py', 'if revision > self._known:', 'if False:')],
+        FRESH + 'test_store_that_is_ahead_proves_nothing_until_that_is_known',
+    ),
+    Ablation(
+        'revocation: a quiet store is asked',
+        [
+            (
+                'catalogue/prover.py',
+                'if not self.is_needed or self._catalogue.routes is None:',
+                'if True:',
+            )
+        ],
+        FRESH + 'test_quiet_store_is_asked_and_keys_go_on',
+    ),
+    Ablation(
+        'caps: what a silent pool may spend is not lent again',
+        [
+            (
+                'quota/issuer.py',
+                'return max(0.0, _WHOLE - others)',
+                'return _WHOLE',
+            )
+        ],
+        QUOTA + 'test_silent_pools_share_is_not_lent_again_before_it_ends',
+    ),
+    Ablation(
+        'caps: a new issuer waits until it knows all holders',
+        [
+            (
+                'quota/issuer.py',
+                'if now < self._known_from:\n            # Others',
+                'if False:\n            # Others',
+            )
+        ],
+        QUOTA + 'test_new_issuer_lends_nothing_that_may_be_held',
+    ),
+    Ablation(
+        'caps: only the answer to the latest question counts',
+        [
+            (
+                'quota/share.py',
+                'if number != self._ask_number or now < self._asked_at:',
+                'if False:',
+            )
+        ],
+        QUOTA + 'test_late_answer_to_an_earlier_question_changes_nothing',
+    ),
+    Ablation(
+        'caps: a share ends by itself',
+        [
+            (
+                'quota/pool.py',
+                'if self._bucket.filled_at < share.ends_at <= now:',
+                'if False:',
+            )
+        ],
+        QUOTA + 'test_tokens_end_with_the_share',
+    ),
+    Ablation(
+        'caps: no window holds more, whatever is lost',
+        [
+            (
+                'quota/issuer.py',
+                'share = min(self._target(holder, now), self._most(holder, held, now))',
+                'share = self._target(holder, now) * 2',
+            )
+        ],
+        WINDOWS,
+    ),
+    Ablation(
+        'caps: the permit comes before the choice',
+        [
+            (
+                'proxy/forwarding.py',
+                '        if not await self._admission.is_permitted(request, progress):\n            return False\n',
+                '',
+            ),
+            (
+                'proxy/forwarding.py',
+                '        return await self._try_once(request, answer, progress, choice)',
+                '        if not await self._admission.is_permitted(request, progress):\n            return False\n        return await self._try_once(request, answer, progress, choice)',
+            ),
+        ],
+        ORDER + 'test_requests_that_wait_for_permits_don_t_push_a_cold_engine',
+    ),
+    Ablation(
+        'cold engines: hosts that have just started keep quiet',
+        [('placement/pace.py', 'share *= UNSETTLED_SHARE', 'share *= 1')],
+        'tests/gateway/test_placement.py::test_cold_engine_is_safe_when_a_region_starts_again_at_once',
+    ),
+]
--- a/tools/ablations/quarantine.py
+++ b/tools/ablations/quarantine.py
@@ -11,9 +11,9 @@
         'quarantine: a request that ended three targets is not sent',
         [
             (
-                'proxy/forwarding.py',
-                'if refusal is not None:',
-                'if False:',
+                'proxy/admission.py',
+                'if refusal is None:',
+                'if True:',
             ),
         ],
         PROCESSES
