--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -15,20 +15,29 @@
 import psutil
 
 from bench.output import save, table
-from jacinthfold import intents
-from jacinthfold.client import HttpClient
-from jacinthfold.configuration import Change, Configuration, decode_snapshot
-from jacinthfold.deployment import Deployment, Organisation, Region
-from jacinthfold.engines import HttpTargetClient
-from jacinthfold.exchange import Knowledge
-from jacinthfold.keys import KeptAnswer, KeyTable, fingerprint
-from jacinthfold.limits import Limiter
-from jacinthfold.members import Heartbeat, Member, MemberState, MemberTable
-from jacinthfold.peers_pb2 import Exchange
-from jacinthfold.quarantine.guard import Guard
-from jacinthfold.routing import PrefixBeliefs, Prompt
-from jacinthfold.targets import TargetTable
-from jacinthfold.views import ReportState, TargetReport
+from jacinthfold.serve import intents
+from jacinthfold.serve.client import HttpClient
+from jacinthfold.serve.configuration import (
+    Change,
+    Configuration,
+    decode_snapshot,
+)
+from jacinthfold.serve.deployment import Deployment, Organisation, Region
+from jacinthfold.serve.engines import HttpTargetClient
+from jacinthfold.serve.exchange import Knowledge
+from jacinthfold.serve.guard import Guard
+from jacinthfold.serve.keys import KeptAnswer, KeyTable, fingerprint
+from jacinthfold.serve.limits import Limiter
+from jacinthfold.serve.members import (
+    Heartbeat,
+    Member,
+    MemberState,
+    MemberTable,
+)
+from jacinthfold.serve.peers_pb2 import Exchange
+from jacinthfold.serve.routing import PrefixBeliefs, Prompt
+from jacinthfold.serve.targets import TargetTable
+from jacinthfold.serve.views import ReportState, TargetReport
 from tests import fakes
 from tools.fleet import Fleet, organisation
 
@@ -194,7 +203,7 @@
 
 
 def target(number: int) -> Any:
-    from jacinthfold.deployment import Target
+    from jacinthfold.serve.deployment import Target
 
     return Target(
         f't{number}', 'http://10.0.0.2:80', 'erie', 'erie-1', ('review',)
@@ -264,7 +273,7 @@
 
 def polls(fleet: Fleet) -> dict[str, float]:
     """Measure one reading of a target."""
-    from jacinthfold.deployment import Target
+    from jacinthfold.serve.deployment import Target
 
     url = fleet.start_target('t', 'erie', 'erie-1', 'review')
     fleet.wait_listening(f'{url}/status')
--- a/jacinthfold/__main__.py
+++ b/jacinthfold/__main__.py
@@ -3,7 +3,7 @@
 import signal
 import sys
 
-from jacinthfold.status import ExitStatus
+from jacinthfold.serve.status import ExitStatus
 
 DAEMONS = frozenset(('gateway', 'serve'))
 
@@ -14,8 +14,8 @@
         _hold_signals()
     # Loading the libraries takes half a second, in which a reload's SIGHUP
     # would end the process without a word: the handlers come first.
-    from jacinthfold.context import Environment  # noqa: PLC0415
-    from jacinthfold.core import main as run  # noqa: PLC0415
+    from jacinthfold.serve.context import Environment  # noqa: PLC0415
+    from jacinthfold.serve.core import main as run  # noqa: PLC0415
 
     return run(sys.argv[1:], Environment())
 
--- a/jacinthfold/cli.py
+++ b/jacinthfold/cli.py
@@ -10,9 +10,9 @@
 
 from jacinthfold import commands, config, logs
 from jacinthfold.commands import CommandError, ControlClient, Output
-from jacinthfold.context import Environment
 from jacinthfold.hashing import hash_key
-from jacinthfold.status import ExitStatus
+from jacinthfold.serve.context import Environment
+from jacinthfold.serve.status import ExitStatus
 from jacinthfold.version import VERSION
 
 PATH_TYPE = click.Path(path_type=Path)
@@ -80,7 +80,7 @@
     what is in flight and exits 0, or exits 1 when `stop_timeout_seconds`
     passed first and requests were cut off.
     """
-    from jacinthfold.node import Node
+    from jacinthfold.serve.node import Node
 
     settings = config.load(path)
     logs.set_up(settings.host.log_level, settings.host.name)
--- a/jacinthfold/commands.py
+++ b/jacinthfold/commands.py
@@ -7,9 +7,9 @@
 
 import click
 
-from jacinthfold.client import ClientError, HttpClient
-from jacinthfold.context import Environment
-from jacinthfold.status import ExitStatus
+from jacinthfold.serve.client import ClientError, HttpClient
+from jacinthfold.serve.context import Environment
+from jacinthfold.serve.status import ExitStatus
 
 TIMEOUT_SECONDS = 30
 STATUS_BY_CODE = {
--- a/jacinthfold/fleet/snapshots.py
+++ b/jacinthfold/fleet/snapshots.py
@@ -13,8 +13,8 @@
 from jacinthfold.catalogue.records import Catalogue, Record
 from jacinthfold.clock import Clock
 from jacinthfold.fleet.table import HostTable
-from jacinthfold.proxy.errors import ProxyError
-from jacinthfold.proxy.http_call import HttpCaller
+from jacinthfold.transport.errors import ProxyError
+from jacinthfold.transport.http_call import HttpCaller
 
 SNAPSHOT_PATH = '/snapshot'
 # Another host may be ahead for as long as changes are gathered there; longer
--- a/jacinthfold/gateway/adapter.py
+++ b/jacinthfold/gateway/adapter.py
@@ -6,7 +6,7 @@
 from jacinthfold.catalogue.metadata import MetadataStore
 from jacinthfold.catalogue.model import HostRecord
 from jacinthfold.catalogue.records import RecordReader
-from jacinthfold.proxy.dialect import Dialect
+from jacinthfold.transport.dialect import Dialect
 
 
 class HostCalls(Protocol):
--- a/jacinthfold/gateway/handlers.py
+++ b/jacinthfold/gateway/handlers.py
@@ -20,11 +20,11 @@
 from jacinthfold.proxy import relay_header
 from jacinthfold.proxy.admission import STALE_RETURN_SECONDS
 from jacinthfold.proxy.caller_answer import CallerAnswer, RawRequest
-from jacinthfold.proxy.dialect import Dialect
 from jacinthfold.proxy.forwarding import Forwarder
 from jacinthfold.proxy.key_gate import KeyGate
-from jacinthfold.proxy.messages import Headers, Request
 from jacinthfold.proxy.metrics import ProxyMetrics
+from jacinthfold.request.messages import Headers, Request
+from jacinthfold.transport.dialect import Dialect
 
 JSON_HEADERS: Headers = [(b'Content-Type', b'application/json')]
 # Of an answer to a caller whose key nobody holds (RFC 9110, section 11.6.1).
--- a/jacinthfold/gateway/knowledge.py
+++ b/jacinthfold/gateway/knowledge.py
@@ -27,9 +27,9 @@
 from jacinthfold.placement.pace import ColdPace
 from jacinthfold.placement.regions import RegionView
 from jacinthfold.placement.targets import TargetTable
-from jacinthfold.proxy.http_call import HttpCaller
-from jacinthfold.proxy.pool import Pool
 from jacinthfold.quarantine.quarantine import Quarantine
+from jacinthfold.transport.http_call import HttpCaller
+from jacinthfold.transport.pool import Pool
 
 HOUSEKEEPING_SECONDS = 0.1
 # Who paces cold targets and shares budgets is followed this often: walking
--- a/jacinthfold/gateway/leaving.py
+++ b/jacinthfold/gateway/leaving.py
@@ -6,7 +6,7 @@
 """
 
 from jacinthfold.clock import Clock
-from jacinthfold.proxy.messages import Request
+from jacinthfold.request.messages import Request
 
 # Requests sent this soon after the signal are taken whatever they are: nobody
 # can have heard of the stop.
--- a/jacinthfold/gateway/node.py
+++ b/jacinthfold/gateway/node.py
@@ -22,9 +22,9 @@
 from jacinthfold.gateway.settings import GatewaySettings
 from jacinthfold.proxy.attempts import Attempts
 from jacinthfold.proxy.forwarding import Forwarder
-from jacinthfold.proxy.http_call import HttpCaller
 from jacinthfold.proxy.listener import Handler, Listener
 from jacinthfold.proxy.metrics import ProxyMetrics
+from jacinthfold.transport.http_call import HttpCaller
 
 SETTINGS_CHECK_SECONDS = 2.0
 # Share of the grace after which no connection is accepted any more: callers
--- a/jacinthfold/organisations/model.py
+++ b/jacinthfold/organisations/model.py
@@ -71,6 +71,11 @@
         """Return how many there are."""
         return len(self._by_name)
 
+    @property
+    def has_caps(self) -> bool:
+        """Tell whether any organisation has a cap."""
+        return any(one.cap is not None for one in self._by_name.values())
+
     def holding(self, key_digest: bytes | None) -> Organisation | None:
         """Return who holds a key."""
         # By digest under a secret: how long the look-up takes tells nothing
--- a/jacinthfold/placement/affinity.py
+++ b/jacinthfold/placement/affinity.py
@@ -10,7 +10,7 @@
 
 from jacinthfold.hashing import rank
 from jacinthfold.placement import limits
-from jacinthfold.proxy.messages import PromptPart
+from jacinthfold.request.messages import PromptPart
 
 
 class _Recent:
--- a/jacinthfold/placement/choice.py
+++ b/jacinthfold/placement/choice.py
@@ -14,7 +14,7 @@
 from jacinthfold.placement.regions import RegionView, RemoteRegion
 from jacinthfold.placement.target import Target
 from jacinthfold.placement.targets import TargetTable
-from jacinthfold.proxy.messages import Request
+from jacinthfold.request.messages import Request
 
 # Returns are spread over this time, so that callers that were refused
 # together don't come back together.
--- a/jacinthfold/placement/estimates.py
+++ b/jacinthfold/placement/estimates.py
@@ -7,7 +7,7 @@
 from jacinthfold.placement.law import ReadingLaw, pairs_of
 from jacinthfold.placement.target import Target
 from jacinthfold.placement.targets import TargetTable
-from jacinthfold.proxy.messages import Request
+from jacinthfold.request.messages import Request
 
 
 class Estimate:
--- a/jacinthfold/placement/keeping.py
+++ b/jacinthfold/placement/keeping.py
@@ -10,7 +10,7 @@
 from jacinthfold.placement.affinity import in_order
 from jacinthfold.placement.target import Target
 from jacinthfold.placement.targets import TargetTable
-from jacinthfold.proxy.messages import Request
+from jacinthfold.request.messages import Request
 
 
 class KeeperRegions:
--- a/jacinthfold/placement/kept.py
+++ b/jacinthfold/placement/kept.py
@@ -10,7 +10,7 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 
-from jacinthfold.proxy.messages import ChainLink
+from jacinthfold.request.messages import ChainLink
 
 # Share of a target's memory that may fill up with newer prompts before a part
 # counts as dropped: the rest is held by running requests, which come first.
--- a/jacinthfold/placement/regions.py
+++ b/jacinthfold/placement/regions.py
@@ -5,7 +5,7 @@
 from jacinthfold.clock import Clock
 from jacinthfold.placement import limits
 from jacinthfold.placement.law import Laws
-from jacinthfold.proxy.messages import Request
+from jacinthfold.request.messages import Request
 
 # Own requests on their way to a region count until its next heartbeats have
 # taken them in: two heartbeats and the trip.
--- a/jacinthfold/placement/target.py
+++ b/jacinthfold/placement/target.py
@@ -6,7 +6,7 @@
 from jacinthfold.catalogue.model import TargetRecord
 from jacinthfold.placement import limits
 from jacinthfold.placement.kept import KeptParts
-from jacinthfold.proxy.messages import ChainLink
+from jacinthfold.request.messages import ChainLink
 
 # Weight of the newest answer, and the seconds that are expected and taken
 # before the first one: three answers of an idle engine.
--- a/jacinthfold/platform/dialect.py
+++ b/jacinthfold/platform/dialect.py
@@ -1,7 +1,7 @@
 """Translate the platform's headers."""
 
 from jacinthfold.organisations.credentials import bearer_digest
-from jacinthfold.proxy.messages import (
+from jacinthfold.request.messages import (
     AnswerFacts,
     Headers,
     PromptPart,
--- a/jacinthfold/platform/program.py
+++ b/jacinthfold/platform/program.py
@@ -12,7 +12,7 @@
 from jacinthfold.platform.dialect import PlatformDialect
 from jacinthfold.platform.documents import PlatformReader
 from jacinthfold.platform.store import PlatformStore
-from jacinthfold.proxy.http_call import HttpCaller
+from jacinthfold.transport.http_call import HttpCaller
 
 # A reader that stands still must not hold up the end of the process.
 FLUSH_SECONDS = 0.2
--- a/jacinthfold/platform/store.py
+++ b/jacinthfold/platform/store.py
@@ -21,8 +21,8 @@
     QUARANTINE_PREFIX,
     ROUTES_KEY,
 )
-from jacinthfold.proxy.errors import ProxyError
-from jacinthfold.proxy.http_call import CallAnswer, HttpCaller
+from jacinthfold.transport.errors import ProxyError
+from jacinthfold.transport.http_call import CallAnswer, HttpCaller
 
 # The store answers in 4 ms; a slow one takes some hundred.
 CALL_SECONDS = 1.5
--- a/jacinthfold/proxy/admission.py
+++ b/jacinthfold/proxy/admission.py
@@ -6,11 +6,11 @@
 from jacinthfold import logs
 from jacinthfold.proxy import request_log
 from jacinthfold.proxy.key_gate import Barrier, KeyGate
-from jacinthfold.proxy.messages import Request
 from jacinthfold.proxy.metrics import ProxyMetrics
 from jacinthfold.proxy.progress import Progress
 from jacinthfold.quarantine.quarantine import Quarantine
 from jacinthfold.quota.permits import Permit, Permits
+from jacinthfold.request.messages import Request
 
 # Hosts that know the store's state are named by the directory; a caller that
 # asks it again has one within this.
--- a/jacinthfold/proxy/attempts.py
+++ b/jacinthfold/proxy/attempts.py
@@ -3,10 +3,10 @@
 import random
 from collections.abc import Callable
 from functools import partial
+from typing import Protocol
 
 from jacinthfold.catalogue.model import HostRecord, Repetition
 from jacinthfold.clock import Clock
-from jacinthfold.fleet.table import HostTable
 from jacinthfold.placement.budget import RetryBudgets
 from jacinthfold.placement.estimates import Estimate
 from jacinthfold.placement.law import Answer
@@ -15,16 +15,16 @@
 from jacinthfold.proxy import relay_header, unread
 from jacinthfold.proxy.caller_answer import CallerAnswer
 from jacinthfold.proxy.delivery import Delivery
-from jacinthfold.proxy.dialect import Dialect
-from jacinthfold.proxy.errors import ConnectFailedError, ProxyError
-from jacinthfold.proxy.exchange import Exchange
-from jacinthfold.proxy.messages import Headers, Request
 from jacinthfold.proxy.metrics import ProxyMetrics
 from jacinthfold.proxy.outcome import Ending, Outcome, told_outcome
 from jacinthfold.proxy.patience import Patience
-from jacinthfold.proxy.pool import Place, Pool
 from jacinthfold.proxy.progress import Progress
 from jacinthfold.quarantine.witness import Witness
+from jacinthfold.request.messages import Headers, Request
+from jacinthfold.transport.dialect import Dialect
+from jacinthfold.transport.errors import ConnectFailedError, ProxyError
+from jacinthfold.transport.exchange import Exchange
+from jacinthfold.transport.pool import Place, Pool
 
 # Targets are in the same region, under 1 ms away: three lost packets' worth.
 CONNECT_SECONDS = 0.4
@@ -39,13 +39,23 @@
 HANG_AIMS = 3.0
 
 
+class RegionHosts(Protocol):
+    """Know the entry hosts of other regions."""
+
+    def serving(self, region: str) -> list[HostRecord]:
+        """Return hosts of a region that take requests."""
+
+    def heard_at(self, name: str) -> float:
+        """Return when a host was last heard."""
+
+
 class Attempts:
     """Carry out single attempts and note what they showed of targets."""
 
     def __init__(
         self,
         pool: Pool,
-        hosts: HostTable,
+        hosts: RegionHosts,
         regions: RegionView,
         budgets: RetryBudgets,
         dialect: Dialect,
--- a/jacinthfold/proxy/caller_answer.py
+++ b/jacinthfold/proxy/caller_answer.py
@@ -2,9 +2,9 @@
 
 import h11
 
-from jacinthfold.proxy.channel import Channel
-from jacinthfold.proxy.errors import ConnectionCutError
-from jacinthfold.proxy.messages import Headers
+from jacinthfold.request.messages import Headers
+from jacinthfold.transport.channel import Channel
+from jacinthfold.transport.errors import ConnectionCutError
 
 
 class RawRequest:
--- a/jacinthfold/proxy/delivery.py
+++ b/jacinthfold/proxy/delivery.py
@@ -6,14 +6,14 @@
 from jacinthfold.catalogue.model import Repetition
 from jacinthfold.clock import Clock
 from jacinthfold.proxy.caller_answer import CallerAnswer
-from jacinthfold.proxy.channel import Channel
-from jacinthfold.proxy.errors import ProxyError
 from jacinthfold.proxy.events import EventSplitter
-from jacinthfold.proxy.exchange import Exchange
-from jacinthfold.proxy.messages import AnswerHead, Request
 from jacinthfold.proxy.outcome import Ending, Outcome
 from jacinthfold.proxy.patience import Patience
 from jacinthfold.proxy.progress import Progress
+from jacinthfold.request.messages import AnswerHead, Request
+from jacinthfold.transport.channel import Channel
+from jacinthfold.transport.errors import ProxyError
+from jacinthfold.transport.exchange import Exchange
 
 # Plain answers are held until they are proven whole; this bounds one.
 WHOLE_LIMIT_BYTES = 16777216
--- a/jacinthfold/proxy/forwarding.py
+++ b/jacinthfold/proxy/forwarding.py
@@ -13,8 +13,6 @@
 from jacinthfold.proxy.admission import Admission
 from jacinthfold.proxy.attempts import Attempts
 from jacinthfold.proxy.caller_answer import CallerAnswer
-from jacinthfold.proxy.dialect import Dialect
-from jacinthfold.proxy.messages import Headers, Request
 from jacinthfold.proxy.metrics import ProxyMetrics
 from jacinthfold.proxy.outcome import Ending, Outcome
 from jacinthfold.proxy.progress import Progress
@@ -25,6 +23,8 @@
     told_quarantined,
 )
 from jacinthfold.quarantine.quarantine import Quarantine
+from jacinthfold.request.messages import Headers, Request
+from jacinthfold.transport.dialect import Dialect
 
 # Callers heed a return time of at most a third of what they have left.
 RETURN_SHARE = 0.3
--- a/jacinthfold/proxy/key_gate.py
+++ b/jacinthfold/proxy/key_gate.py
@@ -4,7 +4,7 @@
 
 from jacinthfold.catalogue.records import Catalogue
 from jacinthfold.organisations.model import Organisation
-from jacinthfold.proxy.messages import Request
+from jacinthfold.request.messages import Request
 
 # Kept of the bound: from the look at the age to a request's last byte at a
 # target, on a host that is short of processor time.
--- a/jacinthfold/proxy/listener.py
+++ b/jacinthfold/proxy/listener.py
@@ -13,8 +13,11 @@
     CallerGoneError,
     RawRequest,
 )
-from jacinthfold.proxy.channel import Channel
-from jacinthfold.proxy.errors import ConnectionCutError, MalformedRequestError
+from jacinthfold.transport.channel import Channel
+from jacinthfold.transport.errors import (
+    ConnectionCutError,
+    MalformedRequestError,
+)
 
 # Callers use connections that were idle for nearly as long as the limit
 # says; one that is closed exactly then would meet their next request.
--- a/jacinthfold/proxy/outcome.py
+++ b/jacinthfold/proxy/outcome.py
@@ -4,7 +4,7 @@
 from http import HTTPStatus
 
 from jacinthfold.proxy import relay_header
-from jacinthfold.proxy.messages import AnswerHead, first_header
+from jacinthfold.request.messages import AnswerHead, first_header
 
 
 class Ending(Enum):
--- a/jacinthfold/proxy/progress.py
+++ b/jacinthfold/proxy/progress.py
@@ -4,9 +4,9 @@
 from http import HTTPStatus
 
 from jacinthfold.placement.decision import Choice, PassTo, Refuse, SendTo
-from jacinthfold.proxy.messages import Request
 from jacinthfold.proxy.outcome import Ending, Outcome
 from jacinthfold.quota.permits import Permit
+from jacinthfold.request.messages import Request
 
 DEFAULT_RETURN_SECONDS = 0.5
 # The reason of a refusal because targets ended under the request.
--- a/jacinthfold/proxy/relay_header.py
+++ b/jacinthfold/proxy/relay_header.py
@@ -3,7 +3,7 @@
 import json
 
 from jacinthfold.catalogue.model import Repetition, Route
-from jacinthfold.proxy.messages import Headers, Request, first_header
+from jacinthfold.request.messages import Headers, Request, first_header
 
 # Both are dropped from what callers send and from what targets get.
 REQUEST_HEADER = b'jacinthfold-passed'
--- a/jacinthfold/proxy/request_log.py
+++ b/jacinthfold/proxy/request_log.py
@@ -2,10 +2,10 @@
 
 from jacinthfold import logs
 from jacinthfold.placement.decision import Choice, PassTo, Refuse, SendTo
-from jacinthfold.proxy.messages import Request
 from jacinthfold.proxy.outcome import Outcome
 from jacinthfold.proxy.progress import QUARANTINED, Progress
 from jacinthfold.quarantine.quarantine import Refusal
+from jacinthfold.request.messages import Request
 
 
 def log_choice(request: Request, choice: Choice, progress: Progress) -> None:
--- a/jacinthfold/proxy/unread.py
+++ b/jacinthfold/proxy/unread.py
@@ -1,7 +1,7 @@
 """Count a request's load on a target while it is there."""
 
 from jacinthfold.placement.estimates import Estimate
-from jacinthfold.proxy.messages import Request
+from jacinthfold.request.messages import Request
 
 
 class UnreadPrompt:
--- a/jacinthfold/quarantine/fingerprints.py
+++ b/jacinthfold/quarantine/fingerprints.py
@@ -3,7 +3,7 @@
 import hashlib
 
 from jacinthfold import logs
-from jacinthfold.proxy.messages import Request
+from jacinthfold.request.messages import Request
 
 # 16 bytes: of a thousand million requests two differ and look the same with a
 # chance of one in 10^20. Fewer bytes would let a caller search for a collision.
--- a/jacinthfold/quarantine/presence.py
+++ b/jacinthfold/quarantine/presence.py
@@ -5,7 +5,7 @@
 
 from jacinthfold.clock import Clock
 from jacinthfold.placement.target import Target
-from jacinthfold.proxy.messages import Request
+from jacinthfold.request.messages import Request
 
 
 class Cause(Enum):
--- a/jacinthfold/quarantine/quarantine.py
+++ b/jacinthfold/quarantine/quarantine.py
@@ -3,7 +3,6 @@
 from jacinthfold.catalogue.metadata import MetadataStore
 from jacinthfold.clock import Clock
 from jacinthfold.placement.targets import TargetTable
-from jacinthfold.proxy.messages import Request
 from jacinthfold.quarantine.ends import BEGUN, WAITING, End, Suspect
 from jacinthfold.quarantine.fingerprints import Fingerprints
 from jacinthfold.quarantine.key import KEY_NAME, KeyMaker
@@ -15,6 +14,7 @@
 )
 from jacinthfold.quarantine.suspects import Suspects
 from jacinthfold.quarantine.witness import Witness
+from jacinthfold.request.messages import Request
 
 _MS = 1000
 
--- a/jacinthfold/quarantine/witness.py
+++ b/jacinthfold/quarantine/witness.py
@@ -12,9 +12,6 @@
 from jacinthfold.clock import Clock
 from jacinthfold.placement.target import Target
 from jacinthfold.placement.targets import TargetTable
-from jacinthfold.proxy.channel import connect
-from jacinthfold.proxy.errors import ConnectFailedError
-from jacinthfold.proxy.messages import Request
 from jacinthfold.quarantine.fingerprints import Fingerprints
 from jacinthfold.quarantine.heads import HeadTiming
 from jacinthfold.quarantine.presence import (
@@ -24,6 +21,9 @@
     Presence,
     TargetEnd,
 )
+from jacinthfold.request.messages import Request
+from jacinthfold.transport.channel import connect
+from jacinthfold.transport.errors import ConnectFailedError
 
 # After the first broken connection: the others of the same end break within a
 # few milliseconds.
--- a/jacinthfold/quota/issuers.py
+++ b/jacinthfold/quota/issuers.py
@@ -173,7 +173,7 @@
             logs.warning('issuing_not_ended', reason=str(error))
 
     async def _step(self) -> None:
-        if self._pools.window is None:
+        if not self._pools.are_needed:
             return
         now = self._clock.boottime()
         if self._lease and now - self._renewed_at >= RENEW_SECONDS:
--- a/jacinthfold/quota/office.py
+++ b/jacinthfold/quota/office.py
@@ -23,7 +23,7 @@
         self,
         hosts: HostTable,
         store: MetadataStore,
-        window: Window | None,
+        window: Window,
         clock: Clock,
     ) -> None:
         """Put the parts together."""
--- a/jacinthfold/quota/pools.py
+++ b/jacinthfold/quota/pools.py
@@ -31,9 +31,11 @@
 class Pools:
     """Hold a pool for each organisation that is asked for here."""
 
-    def __init__(self, window: Window | None, clock: Clock) -> None:
-        """Take how work is counted; None where nothing is capped."""
-        self.window = window
+    def __init__(self, window: Window, clock: Clock) -> None:
+        """Take how work is counted."""
+        self._window = window
+        # Whether any organisation has a cap.
+        self.are_needed = False
         self._clock = clock
         self._pools: dict[str, OrganisationPool] = {}
         self._routes: RouteTable | None = None
@@ -48,6 +50,7 @@
     def follow(self, routes: RouteTable) -> None:
         """Take newer caps."""
         self._routes = routes
+        self.are_needed = routes.organisations.has_caps
         for name, pool in list(self._pools.items()):
             pace = self.pace_of(name)
             if pace is None:
@@ -57,12 +60,12 @@
 
     def pace_of(self, name: str) -> Pace | None:
         """Return the pace of a capped organisation."""
-        if self._routes is None or self.window is None:
+        if self._routes is None:
             return None
         found = self._routes.organisations.named(name)
         if found is None or found.cap is None:
             return None
-        return Pace(found.cap, self.window)
+        return Pace(found.cap, self._window)
 
     def ask(self, name: str, cost: float, decide: Verdict) -> None:
         """Have a pool decide on a request."""
--- /dev/null
+++ b/jacinthfold/request/__init__.py
@@ -0,0 +1,1 @@
+"""Describe requests and answers while they pass through."""
--- /dev/null
+++ b/jacinthfold/serve/__init__.py
@@ -0,0 +1,1 @@
+"""Run entry hosts whose configuration is declared by intents."""
--- a/jacinthfold/admission.py
+++ b/jacinthfold/serve/admission.py
@@ -5,9 +5,9 @@
 
 from jacinthfold.clock import Clock
 from jacinthfold.config import Settings
-from jacinthfold.routing import Candidate, Policy, Prompt
-from jacinthfold.targets import TargetTable
-from jacinthfold.views import TargetView
+from jacinthfold.serve.routing import Candidate, Policy, Prompt
+from jacinthfold.serve.targets import TargetTable
+from jacinthfold.serve.views import TargetView
 
 BULK_PRIORITY = 2
 POLL_SECONDS = 0.05
--- a/jacinthfold/answers.py
+++ b/jacinthfold/serve/answers.py
@@ -9,8 +9,8 @@
 
 from werkzeug.wrappers import Response
 
-from jacinthfold.pump import Outlet
-from jacinthfold.server import CONNECTION_KEY, Connection, Environ
+from jacinthfold.serve.pump import Outlet
+from jacinthfold.serve.server import CONNECTION_KEY, Connection, Environ
 
 INTERNAL_PREFIX = 'x-jacinthfold-'
 HOP_HEADERS = frozenset(
--- a/jacinthfold/configuration.py
+++ b/jacinthfold/serve/configuration.py
@@ -8,10 +8,15 @@
 from datetime import datetime
 from typing import Any
 
-from jacinthfold import intents as intent_rules
 from jacinthfold.clock import Clock
-from jacinthfold.deployment import KINDS, Deployment, Thing, thing_document
-from jacinthfold.intents import Intent
+from jacinthfold.serve import intents as intent_rules
+from jacinthfold.serve.deployment import (
+    KINDS,
+    Deployment,
+    Thing,
+    thing_document,
+)
+from jacinthfold.serve.intents import Intent
 
 RECENT_LIMIT = 256
 UNREADABLE = (LookupError, TypeError, ValueError, zlib.error)
--- a/jacinthfold/core.py
+++ b/jacinthfold/serve/core.py
@@ -7,8 +7,8 @@
 from jacinthfold.cli import program
 from jacinthfold.commands import CommandError
 from jacinthfold.config import SettingsError
-from jacinthfold.context import Environment
-from jacinthfold.status import ExitStatus
+from jacinthfold.serve.context import Environment
+from jacinthfold.serve.status import ExitStatus
 
 TRACEBACK_VARIABLE = 'JACINTHFOLD_TRACEBACK'
 
--- a/jacinthfold/directory.py
+++ b/jacinthfold/serve/directory.py
@@ -3,10 +3,10 @@
 from typing import Any
 
 from jacinthfold.config import Settings
-from jacinthfold.deployment import Deployment, Organisation
 from jacinthfold.hashing import rank
-from jacinthfold.limits import assigned_hosts, home_data_centre
-from jacinthfold.members import Member, MemberState, MemberTable
+from jacinthfold.serve.deployment import Deployment, Organisation
+from jacinthfold.serve.limits import assigned_hosts, home_data_centre
+from jacinthfold.serve.members import Member, MemberState, MemberTable
 
 ENTRY_LIMIT = 12
 
--- a/jacinthfold/effects.py
+++ b/jacinthfold/serve/effects.py
@@ -1,7 +1,7 @@
 """Describe what a plan would change, and its consequences."""
 
-from jacinthfold.deployment import Deployment, TargetState, thing_document
-from jacinthfold.intents import find
+from jacinthfold.serve.deployment import Deployment, TargetState, thing_document
+from jacinthfold.serve.intents import find
 
 
 def describe_change(
--- a/jacinthfold/engines.py
+++ b/jacinthfold/serve/engines.py
@@ -4,9 +4,9 @@
 from collections.abc import Mapping
 from typing import Any, Protocol
 
-from jacinthfold.client import ClientError, HttpClient
-from jacinthfold.deployment import Target
-from jacinthfold.views import ReportState, TargetReport
+from jacinthfold.serve.client import ClientError, HttpClient
+from jacinthfold.serve.deployment import Target
+from jacinthfold.serve.views import ReportState, TargetReport
 
 HTTP_OK = 200
 HTTP_CONFLICT = 409
--- a/jacinthfold/exchange.py
+++ b/jacinthfold/serve/exchange.py
@@ -4,26 +4,31 @@
 from collections.abc import Iterable
 
 from jacinthfold import logs
-from jacinthfold.configuration import Change, Configuration
-from jacinthfold.members import Heartbeat, Member, MemberState, MemberTable
-from jacinthfold.peers_pb2 import (
+from jacinthfold.serve.configuration import Change, Configuration
+from jacinthfold.serve.guard import Guard
+from jacinthfold.serve.members import (
+    Heartbeat,
+    Member,
+    MemberState,
+    MemberTable,
+)
+from jacinthfold.serve.peers_pb2 import (
     Change as ChangeMessage,
 )
-from jacinthfold.peers_pb2 import (
+from jacinthfold.serve.peers_pb2 import (
     Exchange,
 )
-from jacinthfold.peers_pb2 import (
+from jacinthfold.serve.peers_pb2 import (
     Heartbeat as HeartbeatMessage,
 )
-from jacinthfold.peers_pb2 import (
+from jacinthfold.serve.peers_pb2 import (
     Member as MemberMessage,
 )
-from jacinthfold.peers_pb2 import (
+from jacinthfold.serve.peers_pb2 import (
     TargetReport as ReportMessage,
 )
-from jacinthfold.quarantine.guard import Guard
-from jacinthfold.targets import TargetTable
-from jacinthfold.views import TargetReport
+from jacinthfold.serve.targets import TargetTable
+from jacinthfold.serve.views import TargetReport
 
 FULL_EVERY_ROUNDS = 8
 MESSAGE_CHANGE_LIMIT = 64
--- a/jacinthfold/front.py
+++ b/jacinthfold/serve/front.py
@@ -6,22 +6,22 @@
 from werkzeug.wrappers import Request, Response
 
 from jacinthfold import logs
-from jacinthfold.answers import (
+from jacinthfold.clock import Clock
+from jacinthfold.config import Settings
+from jacinthfold.hashing import hash_key
+from jacinthfold.serve.answers import (
     CallerError,
     CallerSink,
     CutError,
     json_response,
 )
-from jacinthfold.clock import Clock
-from jacinthfold.config import Settings
-from jacinthfold.configuration import Configuration
-from jacinthfold.deployment import Organisation
-from jacinthfold.directory import Directory
-from jacinthfold.hashing import hash_key
-from jacinthfold.limits import Limiter, LimitError
-from jacinthfold.metrics import Metrics
-from jacinthfold.once import KEY_HEADER, OnceServer
-from jacinthfold.reading import (
+from jacinthfold.serve.configuration import Configuration
+from jacinthfold.serve.deployment import Organisation
+from jacinthfold.serve.directory import Directory
+from jacinthfold.serve.limits import Limiter, LimitError
+from jacinthfold.serve.metrics import Metrics
+from jacinthfold.serve.once import KEY_HEADER, OnceServer
+from jacinthfold.serve.reading import (
     COMPLETION_PATHS,
     DEADLINE_HEADER,
     check_framing,
@@ -33,9 +33,9 @@
     read_body,
     read_deadline,
 )
-from jacinthfold.server import CONNECTION_KEY, Environ, StartResponse
-from jacinthfold.serving import Server
-from jacinthfold.work import InFlight, Work
+from jacinthfold.serve.server import CONNECTION_KEY, Environ, StartResponse
+from jacinthfold.serve.serving import Server
+from jacinthfold.serve.work import InFlight, Work
 
 Answering = Callable[[Request, CallerSink], Response | None]
 
--- a/jacinthfold/quarantine/guard.py
+++ b/jacinthfold/serve/guard.py
@@ -10,12 +10,12 @@
 
 from jacinthfold import logs
 from jacinthfold.clock import Clock
-from jacinthfold.deployment import TargetState
 from jacinthfold.quarantine.ends import BEGUN, End, SuspectWord
 from jacinthfold.quarantine.fingerprints import KEY_BYTES, Fingerprints
 from jacinthfold.quarantine.suspects import Suspects
-from jacinthfold.views import ReportState, TargetView
-from jacinthfold.work import Work
+from jacinthfold.serve.deployment import TargetState
+from jacinthfold.serve.views import ReportState, TargetView
+from jacinthfold.serve.work import Work
 
 # Exchanges go to one neighbour each half a second and to another data centre
 # at every third: told for this long, a change meets each of them many times.
--- a/jacinthfold/inspection.py
+++ b/jacinthfold/serve/inspection.py
@@ -4,11 +4,11 @@
 from typing import TYPE_CHECKING, Any
 
 from jacinthfold import config
+from jacinthfold.serve.views import TargetView
 from jacinthfold.version import VERSION
-from jacinthfold.views import TargetView
 
 if TYPE_CHECKING:
-    from jacinthfold.node import Node
+    from jacinthfold.serve.node import Node
 
 
 def status(node: 'Node') -> dict[str, Any]:
--- a/jacinthfold/intents.py
+++ b/jacinthfold/serve/intents.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Mapping
 from typing import Any
 
-from jacinthfold.deployment import (
+from jacinthfold.serve.deployment import (
     KINDS,
     Deployment,
     Organisation,
--- a/jacinthfold/keys.py
+++ b/jacinthfold/serve/keys.py
@@ -17,7 +17,7 @@
 
 from jacinthfold.clock import Clock
 from jacinthfold.config import Settings
-from jacinthfold.store import (
+from jacinthfold.serve.store import (
     Store,
     StoreAnswerLostError,
     StoreError,
--- a/jacinthfold/limits.py
+++ b/jacinthfold/serve/limits.py
@@ -9,9 +9,9 @@
 
 from jacinthfold.clock import Clock
 from jacinthfold.config import Settings
-from jacinthfold.deployment import Deployment, Organisation
 from jacinthfold.hashing import rank
-from jacinthfold.members import Member, MemberTable
+from jacinthfold.serve.deployment import Deployment, Organisation
+from jacinthfold.serve.members import Member, MemberTable
 
 BUCKET_LIMIT = 50000
 
--- a/jacinthfold/node.py
+++ b/jacinthfold/serve/node.py
@@ -8,36 +8,37 @@
 from concurrent.futures import Future, ThreadPoolExecutor
 from typing import Any
 
-from jacinthfold import inspection, logs
-from jacinthfold.admission import Admission
-from jacinthfold.client import HttpClient
+from jacinthfold import logs
 from jacinthfold.clock import Clock
 from jacinthfold.config import Settings
-from jacinthfold.configuration import Configuration
-from jacinthfold.directory import Directory
-from jacinthfold.engines import HttpTargetClient
-from jacinthfold.front import CallerApp, Frame
-from jacinthfold.keys import Claims, KeyIssuer, KeyTable
-from jacinthfold.limits import Limiter
-from jacinthfold.members import Member, MemberState, MemberTable
-from jacinthfold.metrics import Metrics
-from jacinthfold.once import OnceServer
-from jacinthfold.operators import ControlApp
-from jacinthfold.orders import OrderKeeper, OrderLease
-from jacinthfold.peers import Knowledge, PeerLoop, Peers
-from jacinthfold.polling import HostListReader, Poller
-from jacinthfold.quarantine.guard import Guard
-from jacinthfold.relay import Relay
-from jacinthfold.relayed import RelayedApp
-from jacinthfold.revisions import Revisions
-from jacinthfold.routing import make_policy
-from jacinthfold.server import Listener, ListenerSettings
-from jacinthfold.serving import Server
-from jacinthfold.spill import Spill
-from jacinthfold.spread import StoreWatcher
-from jacinthfold.store import HttpStore
-from jacinthfold.targets import TargetTable
-from jacinthfold.work import InFlight
+from jacinthfold.serve import inspection
+from jacinthfold.serve.admission import Admission
+from jacinthfold.serve.client import HttpClient
+from jacinthfold.serve.configuration import Configuration
+from jacinthfold.serve.directory import Directory
+from jacinthfold.serve.engines import HttpTargetClient
+from jacinthfold.serve.front import CallerApp, Frame
+from jacinthfold.serve.guard import Guard
+from jacinthfold.serve.keys import Claims, KeyIssuer, KeyTable
+from jacinthfold.serve.limits import Limiter
+from jacinthfold.serve.members import Member, MemberState, MemberTable
+from jacinthfold.serve.metrics import Metrics
+from jacinthfold.serve.once import OnceServer
+from jacinthfold.serve.operators import ControlApp
+from jacinthfold.serve.orders import OrderKeeper, OrderLease
+from jacinthfold.serve.peers import Knowledge, PeerLoop, Peers
+from jacinthfold.serve.polling import HostListReader, Poller
+from jacinthfold.serve.relay import Relay
+from jacinthfold.serve.relayed import RelayedApp
+from jacinthfold.serve.revisions import Revisions
+from jacinthfold.serve.routing import make_policy
+from jacinthfold.serve.server import Listener, ListenerSettings
+from jacinthfold.serve.serving import Server
+from jacinthfold.serve.spill import Spill
+from jacinthfold.serve.spread import StoreWatcher
+from jacinthfold.serve.store import HttpStore
+from jacinthfold.serve.targets import TargetTable
+from jacinthfold.serve.work import InFlight
 
 BEAT_SECONDS = 0.25
 PAUSE_LIMIT_SECONDS = 2
--- a/jacinthfold/once.py
+++ b/jacinthfold/serve/once.py
@@ -4,11 +4,11 @@
 
 from werkzeug.wrappers import Response
 
-from jacinthfold import keys
-from jacinthfold.answers import BufferSink, CallerError, CutError
 from jacinthfold.clock import Clock
-from jacinthfold.deployment import Organisation
-from jacinthfold.keys import (
+from jacinthfold.serve import keys
+from jacinthfold.serve.answers import BufferSink, CallerError, CutError
+from jacinthfold.serve.deployment import Organisation
+from jacinthfold.serve.keys import (
     Claim,
     Claims,
     KeptAnswer,
@@ -16,11 +16,11 @@
     KeyRecord,
     KeyTable,
 )
-from jacinthfold.members import Member, MemberTable
-from jacinthfold.relay import Attempt, Ending, Relay
-from jacinthfold.serving import Server
-from jacinthfold.spill import Spill
-from jacinthfold.work import Work
+from jacinthfold.serve.members import Member, MemberTable
+from jacinthfold.serve.relay import Attempt, Ending, Relay
+from jacinthfold.serve.serving import Server
+from jacinthfold.serve.spill import Spill
+from jacinthfold.serve.work import Work
 
 KEY_HEADER = 'Idempotency-Key'
 CLAIMED_AT_HEADER = 'X-Jacinthfold-Claimed-At'
--- a/jacinthfold/operators.py
+++ b/jacinthfold/serve/operators.py
@@ -10,23 +10,24 @@
 from werkzeug.routing import Map, Rule
 from werkzeug.wrappers import Request, Response
 
-from jacinthfold import intents, logs
-from jacinthfold.answers import CallerError, json_response
+from jacinthfold import logs
 from jacinthfold.clock import Clock
 from jacinthfold.config import Settings
-from jacinthfold.configuration import Configuration
-from jacinthfold.deployment import thing_document
-from jacinthfold.metrics import Metrics
-from jacinthfold.reading import health, read_body
-from jacinthfold.revisions import (
+from jacinthfold.serve import intents
+from jacinthfold.serve.answers import CallerError, json_response
+from jacinthfold.serve.configuration import Configuration
+from jacinthfold.serve.deployment import thing_document
+from jacinthfold.serve.metrics import Metrics
+from jacinthfold.serve.reading import health, read_body
+from jacinthfold.serve.revisions import (
     ConfirmUnknownError,
     NotConfirmedError,
     PlanNotFoundError,
     Revisions,
     StalePlanError,
 )
-from jacinthfold.server import Environ, StartResponse
-from jacinthfold.store import StoreError
+from jacinthfold.serve.server import Environ, StartResponse
+from jacinthfold.serve.store import StoreError
 
 BODY_LIMIT_BYTES = 1048576
 OPERATOR_HEADER = 'X-Operator'
--- a/jacinthfold/orders.py
+++ b/jacinthfold/serve/orders.py
@@ -5,20 +5,20 @@
 from jacinthfold import logs
 from jacinthfold.clock import Clock
 from jacinthfold.config import Settings
-from jacinthfold.configuration import Configuration
-from jacinthfold.deployment import Target, TargetInterface, TargetState
-from jacinthfold.engines import (
+from jacinthfold.hashing import rank
+from jacinthfold.serve.configuration import Configuration
+from jacinthfold.serve.deployment import Target, TargetInterface, TargetState
+from jacinthfold.serve.engines import (
     EngineError,
     Order,
     OrderRefusedError,
     OrderUnknownError,
     TargetClient,
 )
-from jacinthfold.hashing import rank
-from jacinthfold.members import MemberTable
-from jacinthfold.store import Store, StoreError
-from jacinthfold.targets import TargetTable
-from jacinthfold.views import ReportState, TargetReport
+from jacinthfold.serve.members import MemberTable
+from jacinthfold.serve.store import Store, StoreError
+from jacinthfold.serve.targets import TargetTable
+from jacinthfold.serve.views import ReportState, TargetReport
 
 LEASE_PREFIX = 'jacinthfold/orders'
 CANDIDATE_COUNT = 2
--- a/jacinthfold/peers.py
+++ b/jacinthfold/serve/peers.py
@@ -19,15 +19,15 @@
 
 from jacinthfold import logs
 from jacinthfold.config import Settings
-from jacinthfold.configuration import (
+from jacinthfold.serve.configuration import (
     Configuration,
     ConfigurationError,
     decode_snapshot,
 )
-from jacinthfold.exchange import Knowledge
-from jacinthfold.members import Member
-from jacinthfold.peers_grpc import PeersBase, PeersStub
-from jacinthfold.peers_pb2 import Exchange, SnapshotReply, SnapshotRequest
+from jacinthfold.serve.exchange import Knowledge
+from jacinthfold.serve.members import Member
+from jacinthfold.serve.peers_grpc import PeersBase, PeersStub
+from jacinthfold.serve.peers_pb2 import Exchange, SnapshotReply, SnapshotRequest
 
 Result = TypeVar('Result')
 Place = tuple[str, int]
--- a/jacinthfold/peers_grpc.py
+++ b/jacinthfold/serve/peers_grpc.py
@@ -9,17 +9,17 @@
 if typing.TYPE_CHECKING:
     import grpclib.server
 
-import jacinthfold.peers_pb2
+import jacinthfold.serve.peers_pb2
 
 
 class PeersBase(abc.ABC):
 
     @abc.abstractmethod
-    async def Sync(self, stream: 'grpclib.server.Stream[jacinthfold.peers_pb2.Exchange, jacinthfold.peers_pb2.Exchange]') -> None:
+    async def Sync(self, stream: 'grpclib.server.Stream[jacinthfold.serve.peers_pb2.Exchange, jacinthfold.serve.peers_pb2.Exchange]') -> None:
         pass
 
     @abc.abstractmethod
-    async def Snapshot(self, stream: 'grpclib.server.Stream[jacinthfold.peers_pb2.SnapshotRequest, jacinthfold.peers_pb2.SnapshotReply]') -> None:
+    async def Snapshot(self, stream: 'grpclib.server.Stream[jacinthfold.serve.peers_pb2.SnapshotRequest, jacinthfold.serve.peers_pb2.SnapshotReply]') -> None:
         pass
 
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
@@ -27,14 +27,14 @@
             '/jacinthfold.Peers/Sync': grpclib.const.Handler(
                 self.Sync,
                 grpclib.const.Cardinality.UNARY_UNARY,
-                jacinthfold.peers_pb2.Exchange,
-                jacinthfold.peers_pb2.Exchange,
+                jacinthfold.serve.peers_pb2.Exchange,
+                jacinthfold.serve.peers_pb2.Exchange,
             ),
             '/jacinthfold.Peers/Snapshot': grpclib.const.Handler(
                 self.Snapshot,
                 grpclib.const.Cardinality.UNARY_UNARY,
-                jacinthfold.peers_pb2.SnapshotRequest,
-                jacinthfold.peers_pb2.SnapshotReply,
+                jacinthfold.serve.peers_pb2.SnapshotRequest,
+                jacinthfold.serve.peers_pb2.SnapshotReply,
             ),
         }
 
@@ -45,12 +45,12 @@
         self.Sync = grpclib.client.UnaryUnaryMethod(
             channel,
             '/jacinthfold.Peers/Sync',
-            jacinthfold.peers_pb2.Exchange,
-            jacinthfold.peers_pb2.Exchange,
+            jacinthfold.serve.peers_pb2.Exchange,
+            jacinthfold.serve.peers_pb2.Exchange,
         )
         self.Snapshot = grpclib.client.UnaryUnaryMethod(
             channel,
             '/jacinthfold.Peers/Snapshot',
-            jacinthfold.peers_pb2.SnapshotRequest,
-            jacinthfold.peers_pb2.SnapshotReply,
+            jacinthfold.serve.peers_pb2.SnapshotRequest,
+            jacinthfold.serve.peers_pb2.SnapshotReply,
         )
--- a/jacinthfold/polling.py
+++ b/jacinthfold/serve/polling.py
@@ -5,19 +5,19 @@
 from concurrent.futures import Future, ThreadPoolExecutor
 
 from jacinthfold import logs
-from jacinthfold.client import ClientError, HttpClient
 from jacinthfold.clock import Clock
 from jacinthfold.config import Settings
-from jacinthfold.deployment import Target
-from jacinthfold.engines import (
+from jacinthfold.hashing import rank
+from jacinthfold.serve.client import ClientError, HttpClient
+from jacinthfold.serve.deployment import Target
+from jacinthfold.serve.engines import (
     EngineError,
     MisplacedTargetError,
     TargetClient,
 )
-from jacinthfold.hashing import rank
-from jacinthfold.members import MemberTable
-from jacinthfold.targets import TargetTable
-from jacinthfold.views import ReportState
+from jacinthfold.serve.members import MemberTable
+from jacinthfold.serve.targets import TargetTable
+from jacinthfold.serve.views import ReportState
 
 POLL_THREADS = 8
 FAILURES_TO_DOWN = 2
--- a/jacinthfold/reading.py
+++ b/jacinthfold/serve/reading.py
@@ -6,17 +6,17 @@
 
 from werkzeug.wrappers import Request, Response
 
-from jacinthfold.answers import (
+from jacinthfold.serve.answers import (
     HOP_HEADERS,
     INTERNAL_PREFIX,
     CallerError,
     CutError,
     json_response,
 )
-from jacinthfold.deployment import Organisation
-from jacinthfold.once import KEY_HEADER
-from jacinthfold.routing import Prompt
-from jacinthfold.work import Work
+from jacinthfold.serve.deployment import Organisation
+from jacinthfold.serve.once import KEY_HEADER
+from jacinthfold.serve.routing import Prompt
+from jacinthfold.serve.work import Work
 
 COMPLETION_PATHS = frozenset(('/v1/chat/completions', '/v1/completions'))
 DEADLINE_HEADER = 'X-Request-Timeout-Seconds'
--- a/jacinthfold/relay.py
+++ b/jacinthfold/serve/relay.py
@@ -9,14 +9,14 @@
 
 import pycurl
 
-from jacinthfold.client import (
+from jacinthfold.serve.client import (
     Call,
     HeaderCollector,
     prepare,
     refuse_reuse,
     turn_error,
 )
-from jacinthfold.pump import Outlet, Pump
+from jacinthfold.serve.pump import Outlet, Pump
 
 EVENT_END = b'\n\n'
 STREAM_END = b'data: [DONE]'
--- a/jacinthfold/relayed.py
+++ b/jacinthfold/serve/relayed.py
@@ -6,31 +6,31 @@
 
 from werkzeug.wrappers import Request, Response
 
-from jacinthfold import spill
-from jacinthfold.answers import INTERNAL_PREFIX, CallerError, CallerSink
 from jacinthfold.clock import Clock
 from jacinthfold.config import Settings
-from jacinthfold.configuration import Configuration
-from jacinthfold.deployment import Organisation
-from jacinthfold.front import Frame
-from jacinthfold.keys import Claim
-from jacinthfold.members import MemberTable
-from jacinthfold.once import (
+from jacinthfold.serve import spill
+from jacinthfold.serve.answers import INTERNAL_PREFIX, CallerError, CallerSink
+from jacinthfold.serve.configuration import Configuration
+from jacinthfold.serve.deployment import Organisation
+from jacinthfold.serve.front import Frame
+from jacinthfold.serve.keys import Claim
+from jacinthfold.serve.members import MemberTable
+from jacinthfold.serve.once import (
     CLAIMED_AT_HEADER,
     FORWARD_REASON,
     KEY_HEADER,
     OnceServer,
 )
-from jacinthfold.reading import (
+from jacinthfold.serve.reading import (
     COMPLETION_PATHS,
     completion_work,
     passed_headers,
     read_body,
     read_deadline,
 )
-from jacinthfold.server import CONNECTION_KEY, Environ, StartResponse
-from jacinthfold.serving import Server
-from jacinthfold.work import InFlight, Work
+from jacinthfold.serve.server import CONNECTION_KEY, Environ, StartResponse
+from jacinthfold.serve.serving import Server
+from jacinthfold.serve.work import InFlight, Work
 
 
 class RelayedApp:
--- a/jacinthfold/revisions.py
+++ b/jacinthfold/serve/revisions.py
@@ -7,13 +7,17 @@
 from datetime import datetime
 from typing import Any
 
-from jacinthfold import effects
-from jacinthfold import intents as intent_rules
 from jacinthfold.clock import Clock
-from jacinthfold.configuration import Change, Configuration, decode_snapshot
-from jacinthfold.deployment import Deployment
-from jacinthfold.intents import Intent, IntentError
-from jacinthfold.store import (
+from jacinthfold.serve import effects
+from jacinthfold.serve import intents as intent_rules
+from jacinthfold.serve.configuration import (
+    Change,
+    Configuration,
+    decode_snapshot,
+)
+from jacinthfold.serve.deployment import Deployment
+from jacinthfold.serve.intents import Intent, IntentError
+from jacinthfold.serve.store import (
     Entry,
     Store,
     StoreAnswerLostError,
--- a/jacinthfold/serving.py
+++ b/jacinthfold/serve/serving.py
@@ -6,26 +6,26 @@
 from typing import Any
 
 from jacinthfold import logs
-from jacinthfold.admission import (
+from jacinthfold.clock import Clock
+from jacinthfold.config import Settings
+from jacinthfold.serve.admission import (
     AbandonedError,
     Admission,
     AdmissionError,
     NoTargetError,
     Ticket,
 )
-from jacinthfold.answers import AnswerSink, CallerError, CutError
-from jacinthfold.client import Call
-from jacinthfold.clock import Clock
-from jacinthfold.config import Settings
-from jacinthfold.deployment import TargetInterface
-from jacinthfold.metrics import Metrics
-from jacinthfold.quarantine.guard import Guard
-from jacinthfold.relay import STREAM_TYPE, Attempt, Ending, Relay, Result
-from jacinthfold.retries import RetryBudget
-from jacinthfold.spill import Spill
-from jacinthfold.targets import TargetTable
-from jacinthfold.views import ReportState, TargetView
-from jacinthfold.work import Work
+from jacinthfold.serve.answers import AnswerSink, CallerError, CutError
+from jacinthfold.serve.client import Call
+from jacinthfold.serve.deployment import TargetInterface
+from jacinthfold.serve.guard import Guard
+from jacinthfold.serve.metrics import Metrics
+from jacinthfold.serve.relay import STREAM_TYPE, Attempt, Ending, Relay, Result
+from jacinthfold.serve.retries import RetryBudget
+from jacinthfold.serve.spill import Spill
+from jacinthfold.serve.targets import TargetTable
+from jacinthfold.serve.views import ReportState, TargetView
+from jacinthfold.serve.work import Work
 
 ATTEMPT_LIMIT = 3
 FULL_WORD = 'full'
--- a/jacinthfold/spill.py
+++ b/jacinthfold/serve/spill.py
@@ -4,12 +4,17 @@
 import threading
 from collections import Counter
 
-from jacinthfold.client import Call
 from jacinthfold.config import Settings
-from jacinthfold.configuration import Configuration
-from jacinthfold.deployment import Organisation
-from jacinthfold.members import Heartbeat, Member, MemberState, MemberTable
-from jacinthfold.work import Work
+from jacinthfold.serve.client import Call
+from jacinthfold.serve.configuration import Configuration
+from jacinthfold.serve.deployment import Organisation
+from jacinthfold.serve.members import (
+    Heartbeat,
+    Member,
+    MemberState,
+    MemberTable,
+)
+from jacinthfold.serve.work import Work
 
 SECRET_HEADER = 'X-Jacinthfold-Secret'
 ORGANISATION_HEADER = 'X-Jacinthfold-Organisation'
--- a/jacinthfold/spread.py
+++ b/jacinthfold/serve/spread.py
@@ -5,10 +5,10 @@
 
 from jacinthfold import logs
 from jacinthfold.config import Settings
-from jacinthfold.configuration import Configuration, ConfigurationError
-from jacinthfold.members import MemberTable
-from jacinthfold.revisions import Revisions
-from jacinthfold.store import StoreError
+from jacinthfold.serve.configuration import Configuration, ConfigurationError
+from jacinthfold.serve.members import MemberTable
+from jacinthfold.serve.revisions import Revisions
+from jacinthfold.serve.store import StoreError
 
 IDLE_SECONDS = 0.5
 FIRST_PAUSE_SECONDS = 0.2
--- a/jacinthfold/store.py
+++ b/jacinthfold/serve/store.py
@@ -5,7 +5,7 @@
 from typing import Any, Protocol
 from urllib.parse import quote
 
-from jacinthfold.client import Answer, Call, ClientError, HttpClient
+from jacinthfold.serve.client import Answer, Call, ClientError, HttpClient
 
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
--- a/jacinthfold/targets.py
+++ b/jacinthfold/serve/targets.py
@@ -6,9 +6,9 @@
 
 from jacinthfold.clock import Clock
 from jacinthfold.config import Settings
-from jacinthfold.deployment import Deployment
-from jacinthfold.routing import Candidate
-from jacinthfold.views import ReportState, TargetReport, TargetView
+from jacinthfold.serve.deployment import Deployment
+from jacinthfold.serve.routing import Candidate
+from jacinthfold.serve.views import ReportState, TargetReport, TargetView
 
 MILLISECONDS = 1000
 REPORT_LIFETIME_SECONDS = 10
--- a/jacinthfold/views.py
+++ b/jacinthfold/serve/views.py
@@ -2,7 +2,7 @@
 
 from enum import IntEnum
 
-from jacinthfold.deployment import Target, TargetState
+from jacinthfold.serve.deployment import Target, TargetState
 
 TYPICAL_FIRST_TOKEN_SECONDS = 0.2
 DEFAULT_SLOTS = 8
--- a/jacinthfold/work.py
+++ b/jacinthfold/serve/work.py
@@ -7,9 +7,9 @@
 from http import HTTPStatus
 from typing import Any
 
-from jacinthfold.answers import CallerError
-from jacinthfold.deployment import Organisation
-from jacinthfold.routing import Prompt
+from jacinthfold.serve.answers import CallerError
+from jacinthfold.serve.deployment import Organisation
+from jacinthfold.serve.routing import Prompt
 
 
 class Work:
--- a/jacinthfold/standins/engine.py
+++ b/jacinthfold/standins/engine.py
@@ -16,7 +16,7 @@
 
 from werkzeug.wrappers import Request, Response
 
-from jacinthfold.server import CONNECTION_KEY
+from jacinthfold.serve.server import CONNECTION_KEY
 from jacinthfold.standins.web import (
     CROSSED_KEY,
     App,
--- a/jacinthfold/standins/web.py
+++ b/jacinthfold/standins/web.py
@@ -10,7 +10,7 @@
 from werkzeug.routing import Map, Rule
 from werkzeug.wrappers import Request, Response
 
-from jacinthfold.server import (
+from jacinthfold.serve.server import (
     CONNECTION_KEY,
     Environ,
     Listener,
--- /dev/null
+++ b/jacinthfold/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Carry requests and answers over connections."""
--- a/jacinthfold/proxy/channel.py
+++ b/jacinthfold/transport/channel.py
@@ -4,7 +4,7 @@
 import socket
 from collections.abc import Callable
 
-from jacinthfold.proxy.errors import ConnectFailedError, ConnectionCutError
+from jacinthfold.transport.errors import ConnectFailedError, ConnectionCutError
 
 # Reading stops above this and goes on when it has been taken. Callers' bodies
 # are read as they come, so it bounds what a silent reader can hold.
--- a/jacinthfold/proxy/dialect.py
+++ b/jacinthfold/transport/dialect.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from jacinthfold.proxy.messages import (
+from jacinthfold.request.messages import (
     AnswerFacts,
     Headers,
     Request,
--- a/jacinthfold/proxy/exchange.py
+++ b/jacinthfold/transport/exchange.py
@@ -3,10 +3,13 @@
 import h11
 
 from jacinthfold import logs
-from jacinthfold.proxy.channel import Channel
-from jacinthfold.proxy.dialect import Dialect
-from jacinthfold.proxy.errors import ConnectionCutError, MalformedAnswerError
-from jacinthfold.proxy.messages import AnswerHead, Headers, first_header
+from jacinthfold.request.messages import AnswerHead, Headers, first_header
+from jacinthfold.transport.channel import Channel
+from jacinthfold.transport.dialect import Dialect
+from jacinthfold.transport.errors import (
+    ConnectionCutError,
+    MalformedAnswerError,
+)
 
 HEAD_LIMIT_BYTES = 65536
 # Answers to earlier requests that may lie before ours on a connection.
--- a/jacinthfold/proxy/http_call.py
+++ b/jacinthfold/transport/http_call.py
@@ -3,16 +3,16 @@
 import asyncio
 
 from jacinthfold.clock import Clock
-from jacinthfold.proxy.errors import MalformedAnswerError, ProxyError
-from jacinthfold.proxy.exchange import Exchange
-from jacinthfold.proxy.messages import (
+from jacinthfold.request.messages import (
     AnswerFacts,
     AnswerHead,
     Headers,
     Request,
     RequestFacts,
 )
-from jacinthfold.proxy.pool import Pool
+from jacinthfold.transport.errors import MalformedAnswerError, ProxyError
+from jacinthfold.transport.exchange import Exchange
+from jacinthfold.transport.pool import Pool
 
 CONNECT_SECONDS = 0.6
 BODY_LIMIT_BYTES = 33554432
--- a/jacinthfold/proxy/pool.py
+++ b/jacinthfold/transport/pool.py
@@ -4,7 +4,7 @@
 from functools import partial
 
 from jacinthfold.clock import Clock
-from jacinthfold.proxy.channel import Channel, connect
+from jacinthfold.transport.channel import Channel, connect
 
 # How long a connection may lie idle when its target does not say; targets
 # close idle ones, and a request that meets the close is lost.
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -4,7 +4,7 @@
 from datetime import UTC, datetime, timedelta
 
 from jacinthfold import config
-from jacinthfold.store import (
+from jacinthfold.serve.store import (
     Entry,
     StoreAnswerLostError,
     StoreUnavailableError,
--- a/tests/gateway/peak.py
+++ b/tests/gateway/peak.py
@@ -5,7 +5,7 @@
 
 from jacinthfold.placement.decision import SendTo
 from jacinthfold.placement.target import Load
-from jacinthfold.proxy.messages import PromptPart
+from jacinthfold.request.messages import PromptPart
 from tests.fakes import FakeClock
 
 # What the sheets say of an engine, and a region's peak as it was recorded.
--- a/tests/gateway/test_explain.py
+++ b/tests/gateway/test_explain.py
@@ -2,10 +2,10 @@
 
 import io
 
-from jacinthfold.context import Environment
-from jacinthfold.core import main
 from jacinthfold.explain import story
-from jacinthfold.status import ExitStatus
+from jacinthfold.serve.context import Environment
+from jacinthfold.serve.core import main
+from jacinthfold.serve.status import ExitStatus
 
 DAY = '2026-01-01T'
 
--- a/tests/gateway/test_freshness.py
+++ b/tests/gateway/test_freshness.py
@@ -9,7 +9,7 @@
 from jacinthfold.organisations.credentials import digest_of
 from jacinthfold.organisations.model import Organisation
 from jacinthfold.proxy.key_gate import Barrier, KeyGate
-from jacinthfold.proxy.messages import Request, RequestFacts
+from jacinthfold.request.messages import Request, RequestFacts
 from tests.fakes import FakeClock
 from tests.gateway.beating import Fleet
 from tests.gateway.deployment import (
--- a/tests/gateway/test_kept.py
+++ b/tests/gateway/test_kept.py
@@ -1,7 +1,7 @@
 """What is believed of the parts that a target keeps."""
 
 from jacinthfold.placement.kept import TOLD_SECONDS, KeptParts, RecentUses
-from jacinthfold.proxy.messages import PromptPart, RequestFacts
+from jacinthfold.request.messages import PromptPart, RequestFacts
 
 MEMORY_TOKENS = 100000
 
--- a/tests/gateway/test_organisations.py
+++ b/tests/gateway/test_organisations.py
@@ -8,7 +8,7 @@
 from jacinthfold.organisations.credentials import bearer_digest, digest_of
 from jacinthfold.organisations.model import Organisation
 from jacinthfold.platform.documents import PlatformReader
-from jacinthfold.proxy.messages import Request, RequestFacts
+from jacinthfold.request.messages import Request, RequestFacts
 from tests.gateway.deployment import (
     Connection,
     ask,
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -15,7 +15,7 @@
 from jacinthfold.placement.regions import RegionReport, RegionView
 from jacinthfold.placement.target import Load
 from jacinthfold.placement.targets import TargetTable
-from jacinthfold.proxy.messages import PromptPart, Request, RequestFacts
+from jacinthfold.request.messages import PromptPart, Request, RequestFacts
 from tests.fakes import FakeClock
 from tests.gateway.peak import Peak
 
--- a/tests/gateway/test_rebirth.py
+++ b/tests/gateway/test_rebirth.py
@@ -11,7 +11,7 @@
 from jacinthfold.placement.regions import RegionView
 from jacinthfold.placement.target import Load
 from jacinthfold.platform.entries import read_target
-from jacinthfold.proxy.messages import RequestFacts
+from jacinthfold.request.messages import RequestFacts
 from tests.gateway.test_placement import Scene
 from tests.gateway.test_translation import catalogue, entry
 
--- a/tests/gateway/test_translation.py
+++ b/tests/gateway/test_translation.py
@@ -19,7 +19,7 @@
 from jacinthfold.platform.dialect import PlatformDialect
 from jacinthfold.platform.documents import PlatformReader
 from jacinthfold.proxy.events import EventSplitter
-from jacinthfold.proxy.messages import Request, without_framing
+from jacinthfold.request.messages import Request, without_framing
 from tests.fakes import FakeClock
 from tests.gateway.deployment import route, service
 
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from jacinthfold.context import Environment
-from jacinthfold.core import main
-from jacinthfold.status import ExitStatus
+from jacinthfold.serve.context import Environment
+from jacinthfold.serve.core import main
+from jacinthfold.serve.status import ExitStatus
 from tests import fakes
 from tools import write_settings
 from tools.fleet import OPERATOR_KEY, wait_until
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -7,15 +7,35 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from jacinthfold.admission import Admission, NoTargetError, ShedError, Ticket
 from jacinthfold.clock import SystemClock
-from jacinthfold.deployment import Deployment, Organisation, Region, Target
-from jacinthfold.limits import Limiter
-from jacinthfold.members import Heartbeat, Member, MemberState, MemberTable
-from jacinthfold.retries import STARTING_TOKENS, RetryBudget
-from jacinthfold.routing import Candidate, Prompt, WeightedPolicy, make_policy
-from jacinthfold.targets import TargetTable
-from jacinthfold.views import ReportState, TargetReport
+from jacinthfold.serve.admission import (
+    Admission,
+    NoTargetError,
+    ShedError,
+    Ticket,
+)
+from jacinthfold.serve.deployment import (
+    Deployment,
+    Organisation,
+    Region,
+    Target,
+)
+from jacinthfold.serve.limits import Limiter
+from jacinthfold.serve.members import (
+    Heartbeat,
+    Member,
+    MemberState,
+    MemberTable,
+)
+from jacinthfold.serve.retries import STARTING_TOKENS, RetryBudget
+from jacinthfold.serve.routing import (
+    Candidate,
+    Prompt,
+    WeightedPolicy,
+    make_policy,
+)
+from jacinthfold.serve.targets import TargetTable
+from jacinthfold.serve.views import ReportState, TargetReport
 from tests import fakes
 
 PREFIX = b'p' * 4096
--- a/tests/test_ended_targets.py
+++ b/tests/test_ended_targets.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from jacinthfold.deployment import Organisation, Target
 from jacinthfold.quarantine import guard as module
-from jacinthfold.quarantine.guard import Guard
-from jacinthfold.views import ReportState, TargetView
-from jacinthfold.work import Work
+from jacinthfold.serve.deployment import Organisation, Target
+from jacinthfold.serve.guard import Guard
+from jacinthfold.serve.views import ReportState, TargetView
+from jacinthfold.serve.work import Work
 from tests.fakes import FakeClock
 from tests.gateway.deployment import pause
 from tests.helpers import chat, small_fleet
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -8,22 +8,23 @@
 from werkzeug.test import EnvironBuilder
 from werkzeug.wrappers import Request
 
-from jacinthfold import config, intents, options
-from jacinthfold.answers import CallerError
-from jacinthfold.configuration import (
+from jacinthfold import config, options
+from jacinthfold.serve import intents
+from jacinthfold.serve.answers import CallerError
+from jacinthfold.serve.configuration import (
     Change,
     Configuration,
     ConfigurationError,
     decode_snapshot,
 )
-from jacinthfold.deployment import KINDS, Deployment, Organisation
-from jacinthfold.exchange import Knowledge
-from jacinthfold.keys import InvalidKeyError, KeyIssuer
-from jacinthfold.members import Member, MemberTable
-from jacinthfold.peers_pb2 import Exchange
-from jacinthfold.quarantine.guard import Guard
-from jacinthfold.reading import completion_work
-from jacinthfold.targets import TargetTable
+from jacinthfold.serve.deployment import KINDS, Deployment, Organisation
+from jacinthfold.serve.exchange import Knowledge
+from jacinthfold.serve.guard import Guard
+from jacinthfold.serve.keys import InvalidKeyError, KeyIssuer
+from jacinthfold.serve.members import Member, MemberTable
+from jacinthfold.serve.peers_pb2 import Exchange
+from jacinthfold.serve.reading import completion_work
+from jacinthfold.serve.targets import TargetTable
 from tests import fakes
 
 CALM = settings(
--- a/tests/test_matrix.py
+++ b/tests/test_matrix.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from jacinthfold.client import Call, ClientError
+from jacinthfold.serve.client import Call, ClientError
 from tests.helpers import CHAT, issue_key, stream_tokens
 from tools.fleet import ADDRESS, ORDER_KEY, Fleet, organisation, wait_until
 from tools.proxy import Proxy
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -15,18 +15,23 @@
     rule,
 )
 
-from jacinthfold.answers import CallerError
-from jacinthfold.configuration import Configuration, decode_snapshot
-from jacinthfold.deployment import Organisation, thing_document
-from jacinthfold.intents import IntentError, parse
-from jacinthfold.keys import Claims, KeyIssuer, KeyTable
-from jacinthfold.members import Heartbeat, Member, MemberState, MemberTable
-from jacinthfold.once import OnceServer
-from jacinthfold.orders import OrderLease
-from jacinthfold.relay import Ending, Result
-from jacinthfold.revisions import RevisionError, Revisions
-from jacinthfold.store import StoreError
-from jacinthfold.work import Work
+from jacinthfold.serve.answers import CallerError
+from jacinthfold.serve.configuration import Configuration, decode_snapshot
+from jacinthfold.serve.deployment import Organisation, thing_document
+from jacinthfold.serve.intents import IntentError, parse
+from jacinthfold.serve.keys import Claims, KeyIssuer, KeyTable
+from jacinthfold.serve.members import (
+    Heartbeat,
+    Member,
+    MemberState,
+    MemberTable,
+)
+from jacinthfold.serve.once import OnceServer
+from jacinthfold.serve.orders import OrderLease
+from jacinthfold.serve.relay import Ending, Result
+from jacinthfold.serve.revisions import RevisionError, Revisions
+from jacinthfold.serve.store import StoreError
+from jacinthfold.serve.work import Work
 from tests import fakes
 
 HOSTS = st.integers(0, 2)
--- a/tools/ablations/gateway.py
+++ b/tools/ablations/gateway.py
@@ -21,7 +21,7 @@
         'gateway: a late answer of another request is passed over',
         [
             (
-                'proxy/exchange.py',
+                'transport/exchange.py',
                 "while answer.facts.request_id not in {'', self._request_id}:",
                 'while False:',
             ),
--- a/tools/ablations/organisations.py
+++ b/tools/ablations/organisations.py
@@ -46,7 +46,7 @@
         'homes: those of the organisation bind too',
         [
             (
-                'proxy/messages.py',
+                'request/messages.py',
                 'return homes & own if homes and own else homes or own',
                 'return homes',
             )
--- a/tools/ablations/quarantine.py
+++ b/tools/ablations/quarantine.py
@@ -148,13 +148,13 @@
     ),
     Ablation(
         'quarantine: hosts run by intents refuse it',
-        [('serving.py', 'if seconds is None:', 'if True:')],
+        [('serve/serving.py', 'if seconds is None:', 'if True:')],
         'tests/test_ended_targets.py::'
         'test_completion_that_ends_engines_is_not_sent_to_more[False]',
     ),
     Ablation(
         'quarantine: ends of one name close together are one',
-        [('quarantine/guard.py', '< SAME_END_MS', '< 0')],
+        [('serve/guard.py', '< SAME_END_MS', '< 0')],
         'tests/test_ended_targets.py::'
         'test_one_end_that_two_hosts_saw_counts_once',
     ),
--- a/tools/ablations/serve.py
+++ b/tools/ablations/serve.py
@@ -14,7 +14,7 @@
         'runs at most once: no connection is used twice',
         [
             (
-                'relay.py',
+                'serve/relay.py',
                 '        if not attempt.is_repeatable:\n            refuse_reuse(curl)',
                 '        if False:\n            refuse_reuse(curl)',
             ),
@@ -25,7 +25,7 @@
         'runs at most once: orders to engines are not resent',
         [
             (
-                'client.py',
+                'serve/client.py',
                 "        if call.method != 'GET':\n            refuse_reuse(curl)",
                 '        if False:\n            refuse_reuse(curl)',
             ),
@@ -34,14 +34,20 @@
     ),
     Ablation(
         'runs at most once: the owner remembers its keys',
-        [('keys.py', '            if record:\n', '            if False:\n')],
+        [
+            (
+                'serve/keys.py',
+                '            if record:\n',
+                '            if False:\n',
+            )
+        ],
         WHOLE + 'test_order_retried_at_another_host_runs_once',
     ),
     Ablation(
         'runs at most once: a retry goes to the owner',
         [
             (
-                'once.py',
+                'serve/once.py',
                 'if claim.incarnation == self._members.own.incarnation:',
                 'if True:',
             ),
@@ -52,7 +58,7 @@
         'told not run means not run: a sent request is unknown',
         [
             (
-                'relay.py',
+                'serve/relay.py',
                 '    elif not turned.request_sent:\n',
                 '    elif True:\n',
             ),
@@ -63,7 +69,7 @@
         'residency: callers at a wrong region are refused',
         [
             (
-                'front.py',
+                'serve/front.py',
                 'if current is None or region not in current.regions:',
                 'if False:',
             ),
@@ -74,12 +80,12 @@
         'residency: neither end of a spill lets bound data through',
         [
             (
-                'spill.py',
+                'serve/spill.py',
                 '            and member.region in organisation.regions\n',
                 '',
             ),
             (
-                'relayed.py',
+                'serve/relayed.py',
                 'if found is None or self._settings.host.region not in found.regions:',
                 'if found is None:',
             ),
@@ -90,7 +96,7 @@
         'whole answer: only whole events leave',
         [
             (
-                'relay.py',
+                'serve/relay.py',
                 "        if payload.endswith(EVENT_END):\n            self._pending = b''",
                 "        if True:\n            self._pending = b''",
             ),
@@ -101,7 +107,7 @@
         'whole answer: a stream needs its end marker',
         [
             (
-                'relay.py',
+                'serve/relay.py',
                 'return self._is_stream and not self._stream_ended',
                 'return False',
             ),
@@ -112,7 +118,7 @@
         'whole answer: a resumed stream goes on after the last token',
         [
             (
-                'serving.py',
+                'serve/serving.py',
                 "document['resume_after_tokens'] = run.delivered_events",
                 "document['resume_after_tokens'] = 0",
             ),
@@ -123,7 +129,7 @@
         'whole answer: an echoed identifier must be the own one',
         [
             (
-                'relay.py',
+                'serve/relay.py',
                 "self.crossed = echoed not in {None, '', self._attempt.request_id}",
                 'self.crossed = False',
             ),
@@ -134,17 +140,17 @@
         'configuration never reverts: older snapshots are refused',
         [
             (
-                'configuration.py',
+                'serve/configuration.py',
                 'if deployment.revision <= self.revision:',
                 'if False:',
             ),
             (
-                'revisions.py',
+                'serve/revisions.py',
                 'if head.revision > self._configuration.revision:',
                 'if True:',
             ),
             (
-                'revisions.py',
+                'serve/revisions.py',
                 'if self._configuration.offer_changes(head.changes):',
                 'if head.changes and self._configuration.offer_changes(head.changes):',
             ),
@@ -155,7 +161,7 @@
         'configuration: a paused host refuses until it has met its peers',
         [
             (
-                'node.py',
+                'serve/node.py',
                 'return self._is_joined and paused_seconds < PAUSE_LIMIT_SECONDS',
                 'return self._is_joined',
             ),
@@ -164,14 +170,14 @@
     ),
     Ablation(
         'configuration: conflicting plans',
-        [('revisions.py', '    if touched:\n', '    if False:\n')],
+        [('serve/revisions.py', '    if touched:\n', '    if False:\n')],
         CONFIGURATION + 'test_two_operators_confirm_at_once_and_one_wins',
     ),
     Ablation(
         'configuration: a lost confirmation is found by its identifier',
         [
             (
-                'revisions.py',
+                'serve/revisions.py',
                 'if earlier.plan_id == plan_id:',
                 'if False:',
             ),
@@ -181,14 +187,14 @@
     ),
     Ablation(
         'no loop: a request that came from a peer is not passed on',
-        [('relayed.py', '        work.hops = 1\n', '')],
+        [('serve/relayed.py', '        work.hops = 1\n', '')],
         LIFE + 'test_two_full_regions_do_not_pass_requests_to_and_fro',
     ),
     Ablation(
         'a cut-off region serves: readiness does not need the store',
         [
             (
-                'node.py',
+                'serve/node.py',
                 'return self._is_joined and paused_seconds < PAUSE_LIMIT_SECONDS',
                 'return self._is_joined and self.watcher.is_store_reachable',
             ),
@@ -199,7 +205,7 @@
         'leaving targets: reports decide',
         [
             (
-                'views.py',
+                'serve/views.py',
                 'and self.report.state in {ReportState.ACTIVE, ReportState.UNKNOWN}',
                 'and True',
             ),
@@ -208,14 +214,20 @@
     ),
     Ablation(
         'leaving targets: the list of hosts is heeded',
-        [('views.py', '            and not self.is_listed_leaving\n', '')],
+        [
+            (
+                'serve/views.py',
+                '            and not self.is_listed_leaving\n',
+                '',
+            )
+        ],
         LIFE + 'test_target_listed_as_leaving_gets_no_new_work',
     ),
     Ablation(
         'planned stop: an entry host ends what is in flight',
         [
             (
-                'node.py',
+                'serve/node.py',
                 '        while self.in_flight.works():\n',
                 '        while False:\n',
             )
@@ -224,19 +236,25 @@
     ),
     Ablation(
         'planned stop: a target is ordered to stop once it is idle',
-        [('orders.py', 'if not self._is_quiet(target, report):', 'if False:')],
+        [
+            (
+                'serve/orders.py',
+                'if not self._is_quiet(target, report):',
+                'if False:',
+            )
+        ],
         LIFE + 'test_target_told_to_stop_is_ordered_so_once_it_is_idle',
     ),
     Ablation(
         'limits hold across entry hosts',
         [
             (
-                'limits.py',
+                'serve/limits.py',
                 'organisation.limit_requests_per_second * self.share(',
                 'organisation.limit_requests_per_second * _whole(self.share)(',
             ),
             (
-                'limits.py',
+                'serve/limits.py',
                 'class LimitError(Exception):',
                 'def _whole(_):\n    return lambda *args: 1.0\n\n\n'
                 'class LimitError(Exception):',
@@ -248,24 +266,30 @@
         'nobody in: dot segments',
         [
             (
-                'reading.py',
+                'serve/reading.py',
                 "if DOT_SEGMENTS & set(request.path.split('/')):",
                 'if False:',
             ),
-            ('client.py', 'curl.setopt(pycurl.PATH_AS_IS, 1)', 'pass'),
+            ('serve/client.py', 'curl.setopt(pycurl.PATH_AS_IS, 1)', 'pass'),
         ],
         NOBODY + 'test_malformed_request_never_reaches_a_target[path climbing]',
     ),
     Ablation(
         'nobody in: a slow head has a deadline',
-        [('server.py', '        if self.deadline:\n', '        if False:\n')],
+        [
+            (
+                'serve/server.py',
+                '        if self.deadline:\n',
+                '        if False:\n',
+            )
+        ],
         NOBODY + 'test_slow_sender_is_cut_by_the_deadline_of_the_head',
     ),
     Ablation(
         'silent links are replaced',
         [
             (
-                'peers.py',
+                'serve/peers.py',
                 '            self._drop(place)\n            logs',
                 '            logs',
             )
@@ -276,7 +300,7 @@
         'a silent connection to a target is given up in time',
         [
             (
-                'serving.py',
+                'serve/serving.py',
                 'return min(work.deadline, self._clock.monotonic() + seconds)',
                 'return work.deadline',
             ),
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -13,8 +13,8 @@
 from pathlib import Path
 from typing import Any
 
-from jacinthfold.client import Answer, Call, ClientError, HttpClient
 from jacinthfold.hashing import hash_key
+from jacinthfold.serve.client import Answer, Call, ClientError, HttpClient
 
 OPERATOR_KEY = 'sample-operator-key-0001'
 PEER_SECRET = 'sample-peer-secret-0001'
