A host that was overtaken while it confirmed reads the head again

Cause: between the read of the head and the look at the own revision neighbours bring the winner's change; the host is ahead of what it read and took that for a store that is behind. It reads again now, and finds the plan stale. Test: overtaken between the two, NotConfirmedError before.

--- a/jacinthfold/serve/revisions.py
+++ b/jacinthfold/serve/revisions.py
@@ -233,7 +233,14 @@
             if earlier.plan_id == plan_id:
                 return earlier.revision
             _refuse_conflict(plan, earlier)
-        before = self._deployment_at(head)
+        self.bring_up_to(head)
+        before = self._configuration.deployment
+        if before.revision > head.revision:
+            # A neighbour told of a newer change since the head was read. Read
+            # again, it shows what is stale: an operator who is told that the
+            # store failed would try a plan that can't be confirmed any more.
+            return 0
+        _check_reached(before, head)
         try:
             after = _checked(before, plan.intents, head.revision + 1)
         except IntentError as error:
@@ -260,11 +267,7 @@
     def _deployment_at(self, head: Head) -> Deployment:
         self.bring_up_to(head)
         deployment = self._configuration.deployment
-        if deployment.revision != head.revision:
-            raise NotConfirmedError(
-                f'This host is at revision {deployment.revision}, the store '
-                f'at {head.revision}; ask again.'
-            )
+        _check_reached(deployment, head)
         return deployment
 
     def _keep(self, plan: Plan) -> None:
@@ -362,3 +365,11 @@
             'learn it; that is safe.'
         )
     return NotConfirmedError(f'Not confirmed: {reason}.')
+
+
+def _check_reached(deployment: Deployment, head: Head) -> None:
+    if deployment.revision != head.revision:
+        raise NotConfirmedError(
+            f'This host is at revision {deployment.revision}, the store '
+            f'at {head.revision}; ask again.'
+        )
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -6,6 +6,7 @@
 import itertools
 import json
 
+import pytest
 from hypothesis import HealthCheck, assume, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -29,7 +30,12 @@
 from jacinthfold.serve.once import OnceServer
 from jacinthfold.serve.orders import OrderLease
 from jacinthfold.serve.relay import Ending, Result
-from jacinthfold.serve.revisions import RevisionError, Revisions
+from jacinthfold.serve.revisions import (
+    HEAD_KEY,
+    RevisionError,
+    Revisions,
+    StalePlanError,
+)
 from jacinthfold.serve.store import StoreError
 from jacinthfold.serve.work import Work
 from tests import fakes
@@ -474,3 +480,57 @@
 def test_document_of_a_change_survives_json():
     intents = parse([{'kind': 'model', 'name': 'm'}])
     assert json.loads(json.dumps(intents[0].to_document()))['name'] == 'm'
+
+
+class OvertakenStore:
+    """Let something happen right after the head was read, once."""
+
+    def __init__(self, store, then):
+        self._store = store
+        self._then = then
+
+    def __getattr__(self, name):
+        return getattr(self._store, name)
+
+    def get(self, key):
+        entry = self._store.get(key)
+        if key == HEAD_KEY and self._then is not None:
+            then, self._then = self._then, None
+            then()
+        return entry
+
+
+def limit_of(limit):
+    return parse(
+        [
+            {'kind': 'region', 'name': 'erie', 'data_centres': ['erie-1']},
+            {
+                'kind': 'organisation', 'name': 'a', 'home': 'erie',
+                'regions': ['erie'], 'key_hashes': ['a'],
+                'limit_requests_per_second': limit,
+            },
+        ]
+    )  # fmt: skip
+
+
+def test_operator_at_a_host_that_was_overtaken_is_told_what_changed():
+    """Two operators confirm at once; the loser's host reads the head first.
+
+    Before it goes on, neighbours bring it the winner's change. It is ahead of
+    what it has read then, and must read again: told that the store can't be
+    reached, the operator would try a plan that can't be confirmed any more.
+    """
+    clock = fakes.FakeClock()
+    store = fakes.FakeStore(clock)
+    winner, loser = Configuration(clock), Configuration(clock)
+    first = Revisions(store, winner, clock)
+    plan = first.plan(limit_of(1), 'ann')
+
+    def overtake():
+        first.confirm(plan.plan_id, clock.now())
+        loser.offer_changes(first.history())
+
+    other = Revisions(store, loser, clock).plan(limit_of(2), 'bob')
+    second = Revisions(OvertakenStore(store, overtake), loser, clock)
+    with pytest.raises(StalePlanError):
+        second.confirm(other.plan_id, clock.now())
