--- a/jacinthfold/fleet/heartbeats.py
+++ b/jacinthfold/fleet/heartbeats.py
@@ -31,7 +31,6 @@
 from jacinthfold.placement.regions import RegionReport, RegionView
 from jacinthfold.placement.target import Load
 from jacinthfold.placement.targets import TargetTable
-from jacinthfold.quota.messages import QUOTA_MARK
 
 BEAT_SECONDS = 0.2
 BEAT_LIMIT_SECONDS = 0.4
@@ -103,8 +102,9 @@
         self._unsent_told_at = float('-inf')
         self._random = random.Random()
         self.seeds: tuple[Place, ...] = ()
-        # What the same socket carries beside heartbeats.
-        self.take_quota: Callable[[bytes, Place], None] = _take_nothing
+        # Who takes what the same socket carries beside heartbeats, by the
+        # first byte.
+        self.takers: dict[bytes, Callable[[bytes, Place], None]] = {}
 
     async def start(self) -> None:
         """Bind the socket; raise OSError when the port is taken."""
@@ -147,8 +147,8 @@
     def datagram_received(self, content: bytes, addr: Any) -> None:
         """Take a heartbeat or digests."""
         try:
-            if content.startswith(QUOTA_MARK):
-                self.take_quota(content, addr)
+            if content[:1] in self.takers:
+                self.takers[content[:1]](content, addr)
             elif content.startswith(DIGEST_MARK):
                 self._exchange.take(content, addr[0])
             else:
@@ -289,7 +289,3 @@
     waits = {service: (room[0], room[1]) for service, room in rooms.items()}
     counts = {service: room[2] for service, room in rooms.items()}
     return RegionReport(region, now, waits, counts)
-
-
-def _take_nothing(_content: bytes, _sender: Place) -> None:
-    """Leave out what nobody here reads."""
--- a/jacinthfold/gateway/organisations.py
+++ b/jacinthfold/gateway/organisations.py
@@ -14,6 +14,7 @@
 from jacinthfold.proxy.metrics import ProxyMetrics
 from jacinthfold.quarantine.quarantine import Quarantine
 from jacinthfold.quota.bounds import Window
+from jacinthfold.quota.messages import QUOTA_MARK
 from jacinthfold.quota.office import QuotaOffice
 
 _MS = 1000
@@ -42,7 +43,7 @@
     def join(self, follower: Follower, heartbeats: Heartbeats) -> None:
         """Take who watches the store, and whose socket carries messages."""
         self.prover.watches = lambda: follower.watches()
-        heartbeats.take_quota = self.quota.take
+        heartbeats.takers[QUOTA_MARK] = self.quota.take
         self.quota.post.send = heartbeats.send
         self._heartbeats = heartbeats
 
--- a/jacinthfold/serve/inspection.py
+++ b/jacinthfold/serve/inspection.py
@@ -1,17 +1,54 @@
 """Show a process's state, in short and as a whole."""
 
 import os
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 from jacinthfold import config
+from jacinthfold.clock import Clock
+from jacinthfold.config import Settings
+from jacinthfold.serve.admission import Admission
+from jacinthfold.serve.configuration import Configuration
+from jacinthfold.serve.guard import Guard
+from jacinthfold.serve.keys import KeyTable
+from jacinthfold.serve.limits import Limiter
+from jacinthfold.serve.members import MemberTable
+from jacinthfold.serve.orders import OrderKeeper, OrderLease
+from jacinthfold.serve.peers import Peers
+from jacinthfold.serve.polling import Poller
+from jacinthfold.serve.serving import Server
+from jacinthfold.serve.spread import StoreWatcher
+from jacinthfold.serve.targets import TargetTable
 from jacinthfold.serve.views import TargetView
+from jacinthfold.serve.work import InFlight
 from jacinthfold.version import VERSION
 
-if TYPE_CHECKING:
-    from jacinthfold.serve.node import Node
 
+class Inspected(Protocol):
+    """Hold the parts of a process whose state is shown."""
 
-def status(node: 'Node') -> dict[str, Any]:
+    settings: Settings
+    clock: Clock
+    started_at: float
+    members: MemberTable
+    configuration: Configuration
+    targets: TargetTable
+    watcher: StoreWatcher
+    poller: Poller
+    order_lease: OrderLease
+    order_keeper: OrderKeeper
+    guard: Guard
+    peers: Peers
+    in_flight: InFlight
+    admission: Admission
+    limiter: Limiter
+    server: Server
+    key_table: KeyTable
+
+    def is_ready(self) -> bool:
+        """Tell whether callers may be served."""
+
+
+def status(node: Inspected) -> dict[str, Any]:
     """Return a short summary."""
     own = node.members.own
     live = [member.name for member, _ in node.members.live()]
@@ -37,7 +74,7 @@
     }
 
 
-def dump(node: 'Node') -> dict[str, Any]:
+def dump(node: Inspected) -> dict[str, Any]:
     """Return the whole state."""
     now = node.clock.monotonic()
     return {
