--- a/tests/test_ended_targets.py
+++ b/tests/test_ended_targets.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from jacinthfold.quarantine import guard as module
+from jacinthfold.serve import guard as module
 from jacinthfold.serve.deployment import Organisation, Target
 from jacinthfold.serve.guard import Guard
 from jacinthfold.serve.views import ReportState, TargetView
