--- a/tests/gateway/store_standin.py
+++ b/tests/gateway/store_standin.py
@@ -34,6 +34,19 @@
         content = base64.b64encode(json.dumps(document).encode()).decode()
         self._write(key, content, 0)
 
+    def lapse(self, host_name):
+        """End the leases of a host that renews them no more.
+
+        They don't end by themselves here.
+        """
+        self.loop_call(self._lapse, host_name)
+
+    def _lapse(self, host_name):
+        for key, item in list(self.items.items()):
+            content = base64.b64decode(item['value'])
+            if item['lease'] and f'"{host_name}"'.encode() in content:
+                self._erase(key)
+
     def remove(self, key):
         self.loop_call(self._erase, key)
 
--- a/tests/gateway/test_caps.py
+++ b/tests/gateway/test_caps.py
@@ -90,8 +90,12 @@
 
 
 def test_other_host_keeps_the_pool_when_its_keeper_is_killed(desk):
-    """The host that keeps an organisation's pool, or lends to it, is gone."""
+    """The host that keeps an organisation's pool, or lends to it, is gone.
+
+    Its leases end, and the other host lends and keeps all.
+    """
     desk.hosts['north-a'].kill()
+    desk.store.lapse('north-a')
     wait_until(
         lambda: is_served(desk, 'north-b'),
         'the other host lets requests through',
