A pool that rested goes on counting its questions

What callers saw: an organisation that was silent for ten seconds in a region is refused there with no_share until somebody else of its part asks the same issuer. Cause: its pool is dropped and begun anew by the same process, whose questions start at 1 again; the issuer remembers higher ones of this life and passes them over as late. Numbers now go on from the milliseconds of the clock. Test: begun again after 30 s, None before, lent now.

--- a/jacinthfold/quota/pool.py
+++ b/jacinthfold/quota/pool.py
@@ -26,6 +26,7 @@
 RETURN_LIMIT_SECONDS = 4.0
 # The same while there is no share: an issuer's successor takes a second or two.
 NO_SHARE_SECONDS = 1.0
+_MS = 1000
 
 
 class TurnedAway:
@@ -61,8 +62,11 @@
     def __init__(self, pace: Pace, now: float) -> None:
         """Start empty and without a share."""
         self.pace = pace
-        # Of each half of the cap.
-        self.shares = tuple(Share() for _ in range(HALVES))
+        # Of each half of the cap. A pool that was dropped and begins anew must
+        # go on counting, or its issuer takes its questions for late ones: it
+        # asks far fewer than one in a millisecond.
+        first_number = int(now * _MS)
+        self.shares = tuple(Share(first_number) for _ in range(HALVES))
         self.demand = Demand(now)
         self._bucket = Bucket(now)
         self._waiting: deque[_Waiting] = deque()
--- a/jacinthfold/quota/share.py
+++ b/jacinthfold/quota/share.py
@@ -10,11 +10,11 @@
 
     __slots__ = ('_ask_number', '_asked_at', '_ends_at', '_held', 'answered_at')
 
-    def __init__(self) -> None:
-        """Start with nothing."""
+    def __init__(self, first_number: int = 0) -> None:
+        """Start with nothing; questions are numbered from a number on."""
         self._held = 0.0
         self._ends_at = float('-inf')
-        self._ask_number = 0
+        self._ask_number = first_number
         self._asked_at = float('-inf')
         self.answered_at = float('-inf')
 
--- a/tests/gateway/test_quota.py
+++ b/tests/gateway/test_quota.py
@@ -303,6 +303,24 @@
     assert other.share == 0
 
 
+def test_pool_that_rested_is_lent_to_again():
+    """An organisation is silent for long, and its pool is dropped.
+
+    The same process begins it anew. To its issuer, which nobody else asks, the
+    questions must not look like late ones of the pool before: they would be
+    passed over, and the organisation refused for good.
+    """
+    issuer = Issuer(0.0, 0.0)
+    pace = Pace(cap(36000), WINDOW)
+    for now in (100.0, 130.0):
+        pool = OrganisationPool(pace, now)
+        for asked_at in (now, now + 0.3, now + 0.6):
+            number = pool.shares[0].ask(asked_at)
+            loan = issuer.ask('a', 1, number, held=0, wanted=1, now=asked_at)
+            assert loan is not None
+            assert loan.share > 0
+
+
 def test_restarted_pool_holds_nothing():
     issuer = Issuer(0.0, 0.0)
     now = 2 * SHARE_SECONDS
