--- a/jacinthfold/quota/issuers.py
+++ b/jacinthfold/quota/issuers.py
@@ -159,6 +159,8 @@
                 logs.event('part_taken', reason=str(error))
             except MetadataError as error:
                 logs.warning('issuing_failed', reason=str(error))
+                # Refused calls are priced too; a lease stands three tries.
+                await asyncio.sleep(RENEW_SECONDS)
 
     async def leave(self) -> None:
         """Let others issue at once."""
