--- a/jacinthfold/fleet/directory.py
+++ b/jacinthfold/fleet/directory.py
@@ -43,7 +43,11 @@
         """Return the hosts that reach the store, all if none does."""
         # A host that can't hear of keys that are taken away soon serves no
         # request with a key: callers led to it would be sent away again.
-        able = set(self._hosts.all_reaching_store())
+        able = {
+            entry.record.name
+            for entry in self._hosts.others()
+            if entry.status.reaches_store
+        }
         if self.own_reaches_store():
             able.add(self._hosts.own.name)
         return [one for one in hosts if one.name in able] or hosts
--- a/jacinthfold/fleet/table.py
+++ b/jacinthfold/fleet/table.py
@@ -216,14 +216,6 @@
             and self._is_live(entry)
         ]
 
-    def all_reaching_store(self) -> list[str]:
-        """Return names of other hosts that said they reach the store."""
-        return [
-            name
-            for name, entry in self._entries.items()
-            if entry.status.reaches_store
-        ]
-
     def active_in(self, data_centre: str, seconds: float) -> list[str]:
         """Return names of hosts of a data centre heard as active lately."""
         limit = self._clock.monotonic() - seconds
--- a/jacinthfold/gateway/node.py
+++ b/jacinthfold/gateway/node.py
@@ -14,7 +14,7 @@
 from jacinthfold.config import SettingsError
 from jacinthfold.fleet.directory import Directory
 from jacinthfold.fleet.table import HostState
-from jacinthfold.gateway import handlers
+from jacinthfold.gateway import handlers, request_handlers
 from jacinthfold.gateway import settings as gateway_settings
 from jacinthfold.gateway.adapter import Adapter
 from jacinthfold.gateway.knowledge import Knowledge
@@ -101,7 +101,7 @@
             self.metrics,
             self._clock,
         )
-        caller_handler = handlers.CallerHandler(
+        caller_handler = request_handlers.CallerHandler(
             known.catalogue,
             known.organisations.key_gate,
             forwarder,
@@ -109,7 +109,7 @@
             self._leaving,
             self._clock,
         )
-        relay_handler = handlers.RelayHandler(
+        relay_handler = request_handlers.RelayHandler(
             known.organisations.key_gate,
             forwarder,
             dialect,
--- a/tools/ablations/organisations.py
+++ b/tools/ablations/organisations.py
@@ -13,7 +13,7 @@
         'keys: none goes on to a target',
         [
             (
-                'gateway/handlers.py',
+                'gateway/request_handlers.py',
                 'work.headers = self._dialect.without_credentials(work.headers)',
                 'pass',
             )
