No key in the log of a malformed head

What was seen: a caller that writes 'Authorization : Bearer KEY' got 400, and its key stood in the host's log (request_malformed, reason). Cause: the parser's error quotes the line. Logged is what stands before the quote.

--- a/jacinthfold/proxy/listener.py
+++ b/jacinthfold/proxy/listener.py
@@ -265,9 +265,12 @@
         try:
             return self._parser.next_event()
         except h11.RemoteProtocolError as error:
+            # The parser quotes the line after a colon, and a line may hold a
+            # key: it would stand in the log. What was wrong stands before it.
+            reason = str(error).partition(':')[0]
             raise MalformedRequestError(
-                error.error_status_hint, str(error)
-            ) from error
+                error.error_status_hint, reason
+            ) from None
 
     def _invite_body(self) -> None:
         if self._parser.they_are_waiting_for_100_continue:
--- a/tests/gateway/test_organisations.py
+++ b/tests/gateway/test_organisations.py
@@ -1,6 +1,7 @@
 """Keys and organisations: who is let in, and what targets are told."""
 
 import json
+import socket
 
 import pytest
 
@@ -137,6 +138,31 @@
     assert 'nobody-holds-this' not in shown
 
 
+@pytest.mark.parametrize(
+    'line',
+    [
+        f'Authorization : Bearer {KEY}',
+        f'Authorization\x00: Bearer {KEY}',
+        f'Authorization Bearer {KEY}',
+        f'Authorization: Bearer {KEY}\x00',
+    ],
+    ids=repr,
+)
+def test_key_in_a_malformed_line_stands_in_no_log(desk, line):
+    """A caller's library writes the header with a space before the colon.
+
+    The parser's error quotes the line, and the host logged the error: the
+    key stood in the log of each host that the caller tried.
+    """
+    host = desk.hosts['north-a']
+    with socket.create_connection(host.callers, timeout=10) as sent:
+        head = f'GET /order/x HTTP/1.1\r\nHost: api.example\r\n{line}\r\n\r\n'
+        sent.sendall(head.encode('latin-1'))
+        assert sent.recv(1000).startswith(b'HTTP/1.1 400')
+    desk.wait_log('north-a', 'event=request_malformed')
+    assert KEY not in host.log()
+
+
 def test_configuration_without_organisations_asks_for_no_key(deployment):
     """Headers of callers go on to targets as they came."""
     deployment.put_routes(route('/order/'))
