Three tests say what they prove: permits given back, a frozen host, a host that just started

test_request_that_a_target_turned_down_costs_nothing passed with the safeguard out: it waited three seconds, in which the tokens come by themselves (it had been eased when its cap was lowered). Now none of 15 in a row may be told 429 by a bucket of one call. The frozen host got its request after it woke; it lies in its socket now. New: a host that starts without the store.

--- a/tests/gateway/test_caps.py
+++ b/tests/gateway/test_caps.py
@@ -13,7 +13,7 @@
     tenant,
     wait_served,
 )
-from tests.gateway.target_standin import refuse, serve_plain
+from tests.gateway.target_standin import refuse
 from tools.fleet import wait_until
 
 CAPPED, FREE = 'a-capped-key', 'a-free-key'
@@ -80,13 +80,18 @@
 
 
 def test_request_that_a_target_turned_down_costs_nothing(desk):
-    """Targets refuse for a while; the tokens are there when they recover."""
+    """Targets refuse for a while, and an organisation goes on asking.
+
+    Its bucket holds one call. Each is turned down by a target and has not run,
+    so its tokens come back before the next one: none is over the cap.
+    """
     desk.targets['i-1'].script = refuse
+    pause(1.5)
+    statuses = []
     for _ in range(15):
-        ask_with(desk, 'north-a', CAPPED)
+        statuses.append(ask_with(desk, 'north-a', CAPPED).status)
         pause(0.02)
-    desk.targets['i-1'].script = serve_plain
-    wait_until(lambda: is_served(desk, 'north-a'), 'it is served', 3)
+    assert set(statuses) == {503}
 
 
 def test_other_host_keeps_the_pool_when_its_keeper_is_killed(desk):
--- a/tests/gateway/test_freshness.py
+++ b/tests/gateway/test_freshness.py
@@ -14,6 +14,7 @@
 from tests.fakes import FakeClock
 from tests.gateway.beating import Fleet
 from tests.gateway.deployment import (
+    Connection,
     bearer,
     pause,
     route,
@@ -243,21 +244,47 @@
 
 
 def test_frozen_host_runs_nothing_with_a_key_that_went(deployment):
-    """A host stands still while a key is taken away, and wakes with requests
-    in its sockets. It can't have heard; what it sends now would run seven
-    seconds after the key's end."""
+    """A host stands still while a key is taken away; the store goes too.
+
+    Five seconds later a request with that key lies in its socket, on a
+    connection that was open before. It wakes, and can't have heard.
+    """
     cut_deployment(deployment, 'north-a')
     host = deployment.hosts['north-a']
+    connection = Connection(host.callers)
+    connection.send('/order/1', headers=[bearer(KEY)], request_id='before')
+    assert connection.receive().status == 200
     deployment.store.is_down = True
     host.signal(signal.SIGSTOP)
     deployment.put_routes(route('/order/'), tenants=[tenant('north', OTHER)])
     pause(5.5)
     deployment.targets['i-1'].executed.clear()
+    connection.send('/order/2', headers=[bearer(KEY)], request_id='after')
     host.signal(signal.SIGCONT)
-    assert ask_with_key(deployment, 'north-a').status == 503
+    assert connection.receive().status == 503
+    connection.close()
     assert not deployment.targets['i-1'].executed
 
 
+def test_host_that_starts_without_the_store_serves_no_key(deployment):
+    """A host starts while the store is away, and a neighbour tells it all.
+
+    The neighbour has what it knew before the cut; a key may have gone since.
+    With no proof of its own, and an old one from the neighbour, the new host
+    must serve no key, though it knows each.
+    """
+    cut_deployment(deployment, 'north-a')
+    first = deployment.hosts['north-a']
+    deployment.store.is_down = True
+    pause(5.5)
+    seeds = f'{first.control[0]}:{first.control[1]}'
+    deployment.start_host('north-b', seeds=seeds, revocation_ms=5000)
+    deployment.targets['i-1'].executed.clear()
+    assert ask_with_key(deployment, 'north-b').status == 503
+    assert deployment.ask('north-b', '/open/x').status == 200
+    assert len(deployment.targets['i-1'].executed) == 1
+
+
 def test_directory_names_hosts_that_reach_the_store():
     fleet = Fleet(4, ('n-1',))
     fleet.run(2)
