--- a/tests/gateway/test_permit_order.py
+++ b/tests/gateway/test_permit_order.py
@@ -2,6 +2,9 @@
 
 import asyncio
 
+import pytest
+
+from jacinthfold.catalogue.model import Repetition
 from jacinthfold.placement.budget import RetryBudgets
 from jacinthfold.proxy.admission import Admission
 from jacinthfold.proxy.forwarding import Forwarder
@@ -46,6 +49,22 @@
         return Outcome(Ending.UNKNOWN, 'gone')
 
 
+class RevokingAttempts(Attempts):
+    """Have the key taken away during the first attempt, which fails."""
+
+    def __init__(self, ending):
+        super().__init__()
+        self.ending = ending
+        self.catalogue = None
+
+    async def at_target(self, request, answer, progress, estimate):
+        self.sent.append(request)
+        gone = document(tenant('other', 'another-key'), version=6)
+        self.catalogue.apply([record(gone, 2)], 2)
+        answer.has_started = self.ending is Ending.CUT
+        return Outcome(self.ending, 'broken')
+
+
 class Answer:
     """Keep the status of an answer."""
 
@@ -79,7 +98,7 @@
     return made, Forwarder(
         scene.placer,
         attempts,
-        RetryBudgets(0.2, 10, 10, scene.clock),
+        RetryBudgets(0.2, 1000, 10, scene.clock),
         quarantine,
         admission,
         Dialect(),
@@ -88,13 +107,14 @@
     )
 
 
-def serve_together(count, scene, permits, attempts):
+def serve_together(count, scene, permits, attempts, **fields):
     """Serve requests that come at once; return their answers."""
     made, serving = forwarder(scene, permits, attempts)
+    attempts.catalogue = made
 
     async def serve():
         answers = [Answer() for _ in range(count)]
-        requests = [scene.request(max_attempts=1) for _ in answers]
+        requests = [scene.request(**fields) for _ in answers]
         for request in requests:
             request.facts.key_digest = digest_of(KEY.encode())
             request.organisation = made.routes.organisations.named('north')
@@ -119,7 +139,7 @@
     scene.add('i-1', cold_seconds=5.0)
     scene.clock.advance(3)
     permits, attempts = SlowPermits(), Attempts()
-    serve_together(10, scene, permits, attempts)
+    serve_together(10, scene, permits, attempts, max_attempts=1)
     assert len(attempts.sent) == 1
 
 
@@ -129,3 +149,28 @@
     answers = serve_together(3, scene, permits, attempts)
     assert {one.status for one in answers} == {503}
     assert len(permits.returned) == 3
+
+
+@pytest.mark.parametrize(
+    'ending', [Ending.NOT_RUN, Ending.FAILED, Ending.UNKNOWN, Ending.CUT]
+)
+def test_no_repeat_runs_with_a_key_that_went_meanwhile(ending):
+    """A target turns a request down, fails it or breaks its stream off.
+
+    While it did, the key was taken away. Another target stands ready, and the
+    request may be repeated or resumed there; it must not be sent again.
+    """
+    scene = Scene()
+    for name in ('i-1', 'i-2'):
+        scene.add(name)
+    attempts = RevokingAttempts(ending)
+    serve_together(
+        1,
+        scene,
+        SlowPermits(),
+        attempts,
+        max_attempts=3,
+        is_stream=True,
+        repetition=Repetition.RESUMED,
+    )
+    assert len(attempts.sent) == 1
