Limits that targets name in their answers are decoded and logged

What can't be read (0, signs, exponents, names, 400 digits) is logged once a header and life and changes nothing. No decision goes by it yet.

--- a/jacinthfold/placement/target.py
+++ b/jacinthfold/placement/target.py
@@ -1,12 +1,15 @@
 """Hold what is believed of one target."""
 
 from collections.abc import Iterable
+from http import HTTPStatus
 
 from jacinthfold import logs
 from jacinthfold.catalogue.model import TargetRecord
+from jacinthfold.clock import Clock
 from jacinthfold.placement import limits
 from jacinthfold.placement.kept import KeptParts
-from jacinthfold.request.messages import ChainLink
+from jacinthfold.placement.request_limit import RequestLimit
+from jacinthfold.request.messages import AnswerHead, ChainLink
 
 # Weight of the newest answer, and the seconds that are expected and taken
 # before the first one: three answers of an idle engine.
@@ -56,6 +59,7 @@
         'is_removed',
         'kept',
         'last_resort_until',
+        'limit',
         'own',
         'own_read_tokens',
         'paced_at',
@@ -63,6 +67,7 @@
         'reported',
         'seconds_per_call',
         'unreachable_until',
+        'unreadable',
     )
 
     def __init__(self, record: TargetRecord) -> None:
@@ -79,12 +84,15 @@
         # When any answer of the target last brought something here.
         self.heard_at = float('-inf')
         self.failures = 0
+        # Headers of its answers that could not be read, logged once each.
+        self.unreadable: set[str] = set()
         self.failing_share = 0.0
         self.seconds_per_call = limits.CALL_SECONDS
         # None while the target stays; else until when it may be used if
         # nothing else is left.
         self.last_resort_until: float | None = None
         self.is_removed = False
+        self.limit = RequestLimit(record.instance)
         self.kept = KeptParts()
         # Seconds that answers took and that were expected, the latest most.
         self._taken_seconds = SPEED_START_SECONDS
@@ -128,6 +136,27 @@
             expected_seconds - self._expected_seconds
         )
 
+    def note_answer(
+        self, clock: Clock, sent_at: float, head: AnswerHead
+    ) -> None:
+        """Take what the head of an answer asks of this host."""
+        if head.status == HTTPStatus.MISDIRECTED_REQUEST:
+            # Another target has the address now.
+            return
+        facts = head.facts
+        for name, content in facts.unreadable.items():
+            if name not in self.unreadable:
+                self.unreadable.add(name)
+                logs.warning(
+                    'target_header_unreadable',
+                    target=self.record.instance,
+                    header=name,
+                    content=content,
+                )
+        self.limit.note_answer(
+            facts.limit_per_second, sent_at, clock.monotonic()
+        )
+
     def note_failure(self, now: float, *, is_unreachable: bool) -> None:
         """Take that the target failed a request."""
         self.failures += 1
--- a/jacinthfold/platform/dialect.py
+++ b/jacinthfold/platform/dialect.py
@@ -1,5 +1,7 @@
 """Translate the platform's headers."""
 
+import re
+
 from jacinthfold.organisations.credentials import bearer_digest
 from jacinthfold.request.messages import (
     AnswerFacts,
@@ -23,6 +25,7 @@
 PRIORITY = b'Request-Priority'
 COPY_FROM = b'Kv-Fetch'
 RETRY_AFTER = b'Retry-After'
+LIMIT = b'Server-Limit'
 CREDENTIALS = b'Authorization'
 ORGANISATION = b'Tenant'
 
@@ -47,7 +50,12 @@
 PRIORITY_LIMIT = 9
 # Far above any prompt; a million of them still fit 64 bits.
 TOKENS_LIMIT = 1_000_000_000
+# Requests a second beyond which a limit is a mistake of its writer.
+MOST_PER_SECOND = 1_000_000.0
+# Characters of an unreadable number that are logged.
+SHOWN_CHARACTERS = 20
 _MS = 1000
+_DECIMAL = re.compile(r'[0-9]{1,12}(\.[0-9]{1,12})?')
 
 
 class PlatformDialect:
@@ -82,6 +90,7 @@
         facts.idle_seconds = _idle_seconds(headers)
         cold_ms = _text(headers, COLD)
         facts.cold_seconds = float(cold_ms) / _MS if cold_ms else None
+        facts.limit_per_second = _limit_per_second(headers, facts)
         return facts
 
     def target_headers(
@@ -153,6 +162,29 @@
     return tuple(parts)
 
 
+def _limit_per_second(headers: Headers, facts: AnswerFacts) -> float | None:
+    named = []
+    for content in _all(headers, LIMIT):
+        per_second = _number(content)
+        if per_second is None or not 0 < per_second <= MOST_PER_SECOND:
+            _note_unreadable(facts, LIMIT, content)
+        else:
+            named.append(per_second)
+    return min(named, default=None)
+
+
+def _number(content: bytes) -> float | None:
+    text = content.decode('latin-1').strip()
+    if not _DECIMAL.fullmatch(text):
+        return None
+    return float(text)
+
+
+def _note_unreadable(facts: AnswerFacts, name: bytes, content: bytes) -> None:
+    shown = content[:SHOWN_CHARACTERS].decode('latin-1')
+    facts.unreadable[name.decode()] = shown
+
+
 def _tokens(content: str) -> int:
     # Hosts add these up and tell each other the sums: a figure beyond 64 bits
     # failed every collector that heard of it, a negative one drew all requests.
--- a/jacinthfold/proxy/attempts.py
+++ b/jacinthfold/proxy/attempts.py
@@ -100,6 +100,7 @@
         began_at = self._clock.monotonic()
         prompt = unread.UnreadPrompt(estimate, request)
         delivery.on_first_event = prompt.note_read
+        delivery.on_head = partial(target.note_answer, self._clock, began_at)
         try:
             outcome = await self._exchange(
                 target.place, CONNECT_SECONDS, request, headers, delivery
--- a/jacinthfold/proxy/delivery.py
+++ b/jacinthfold/proxy/delivery.py
@@ -51,6 +51,7 @@
         self._is_withdrawn = False
         self.on_first_event: Callable[[], None] | None = None
         self.on_heard: Callable[[], None] = _nothing
+        self.on_head: Callable[[AnswerHead], None] = _take_nothing
 
     @property
     def barrier_reason(self) -> str:
@@ -73,6 +74,7 @@
             exchange.head(), self._patience.silence_seconds
         )
         self.on_heard()
+        self.on_head(head)
         return head
 
     async def deliver(self, exchange: Exchange, head: AnswerHead) -> Outcome:
@@ -151,3 +153,7 @@
 
 def _nothing() -> None:
     """Hear of nothing."""
+
+
+def _take_nothing(_: AnswerHead) -> None:
+    """Take an answer's head and keep nothing of it."""
--- a/jacinthfold/request/messages.py
+++ b/jacinthfold/request/messages.py
@@ -190,12 +190,18 @@
         'idle_seconds',
         'is_not_run',
         'is_sealed',
+        'limit_per_second',
         'request_id',
+        'unreadable',
     )
 
     def __init__(self) -> None:
         """Start with what an answer without such headers says."""
         self.request_id = ''
+        # Requests that the target takes from all hosts together.
+        self.limit_per_second: float | None = None
+        # What it asks for in words that can't be read, by header.
+        self.unreadable: dict[str, str] = {}
         self.is_not_run = False
         self.is_sealed = False
         self.idle_seconds: float | None = None
--- a/tests/gateway/test_translation.py
+++ b/tests/gateway/test_translation.py
@@ -301,3 +301,39 @@
 def test_faulty_setting_is_named(line, fault):
     with pytest.raises(SettingsError, match=fault):
         settings.parse(f'[listen]\n{line}\n')
+
+
+LIMITS = st.lists(st.binary(max_size=30).filter(lambda one: b'\n' not in one))
+
+
+@pytest.mark.parametrize(
+    ('contents', 'per_second'),
+    [
+        ([b'1.2'], 1.2),
+        ([b' 40 '], 40.0),
+        ([b'2', b'1.5'], 1.5),
+        ([b'nan', b'3'], 3.0),
+        ([b'0'], None),
+        ([b'-1'], None),
+        ([b'inf'], None),
+        ([b'1e3'], None),
+        ([b'9' * 400], None),
+        ([b''], None),
+        ([], None),
+    ],
+)
+def test_limit_is_a_positive_number_or_unreadable(contents, per_second):
+    headers = [(b'Server-Limit', content) for content in contents]
+    facts = PlatformDialect().read_answer(200, headers)
+    assert facts.limit_per_second == per_second
+    is_unreadable = per_second is None and bool(contents)
+    assert bool(facts.unreadable) >= is_unreadable
+
+
+@given(LIMITS)
+def test_any_limit_is_read_or_shown(contents):
+    headers = [(b'server-limit', content) for content in contents]
+    facts = PlatformDialect().read_answer(200, headers)
+    assert facts.limit_per_second is not None or (
+        bool(facts.unreadable) == bool(contents)
+    )
