A limit outlives a record that lapses with the store

The test failed before with None for the limit. What a target asks for stands in one place now, Pushback, apart from what this host saw of it.

--- a/jacinthfold/gateway/knowledge.py
+++ b/jacinthfold/gateway/knowledge.py
@@ -203,7 +203,7 @@
                     'cold_seconds': max(0.0, target.cold_until - now),
                     'is_leaving': target.last_resort_until is not None,
                     'failing_share': target.failing_share,
-                    'limit_per_second': target.limit.per_second,
+                    'limit_per_second': target.pushback.limit.per_second,
                 }
                 for target in self.targets.all()
             ],
--- a/jacinthfold/placement/choice.py
+++ b/jacinthfold/placement/choice.py
@@ -288,7 +288,7 @@
         limited = [
             target
             for target in self._targets.of(service, self._region)
-            if target.limit.per_second is not None
+            if target.pushback.limit.per_second is not None
         ]
         if not limited:
             return Refuse('no_target', self._return_seconds(NO_TARGET_SECONDS))
--- a/jacinthfold/placement/limit_shares.py
+++ b/jacinthfold/placement/limit_shares.py
@@ -41,7 +41,7 @@
 
     def allows(self, target: Target, now: float, *, is_urgent: bool) -> bool:
         """Tell whether a target's limit has room for a request now."""
-        limit = target.limit
+        limit = target.pushback.limit
         if limit.per_second is None:
             return True
         self._settle(limit, target.record.instance, now)
@@ -50,7 +50,7 @@
 
     def note_sent(self, target: Target, now: float) -> bool:
         """Take one request from a limit; tell whether there is one."""
-        limit = target.limit
+        limit = target.pushback.limit
         if limit.per_second is None:
             return False
         self._settle(limit, target.record.instance, now)
@@ -59,7 +59,9 @@
 
     def mean_per_second(self, targets: Iterable[Target]) -> float:
         """Return what one host may send to targets with a limit, on average."""
-        granted = sum(target.limit.per_second or 0.0 for target in targets)
+        granted = sum(
+            target.pushback.limit.per_second or 0.0 for target in targets
+        )
         return granted * GRANTED_SHARE / self._ranks.host_count
 
     def _settle(self, limit: RequestLimit, instance: str, now: float) -> None:
--- a/jacinthfold/placement/limit_words.py
+++ b/jacinthfold/placement/limit_words.py
@@ -13,7 +13,7 @@
     """Return what this host heard of limits, by the life of a target."""
     words = {}
     for target in targets.all():
-        word = target.limit.own_word(now)
+        word = target.pushback.limit.own_word(now)
         if word is not None:
             words[target.record.life] = word
     return words
@@ -31,7 +31,9 @@
         if target is not None and _is_sound(word):
             per_second, age_ms, turn = word
             named_at = told_at - age_ms / 1000
-            target.limit.take_word(per_second or None, named_at, turn, source)
+            target.pushback.limit.take_word(
+                per_second or None, named_at, turn, source
+            )
 
 
 def _is_sound(word: LimitWord) -> bool:
--- a/jacinthfold/placement/target.py
+++ b/jacinthfold/placement/target.py
@@ -1,15 +1,13 @@
 """Hold what is believed of one target."""
 
 from collections.abc import Iterable
-from http import HTTPStatus
 
 from jacinthfold import logs
 from jacinthfold.catalogue.model import TargetRecord
-from jacinthfold.clock import Clock
 from jacinthfold.placement import limits
 from jacinthfold.placement.kept import KeptParts
-from jacinthfold.placement.request_limit import RequestLimit
-from jacinthfold.request.messages import AnswerHead, ChainLink
+from jacinthfold.placement.pushback import Pushback
+from jacinthfold.request.messages import ChainLink
 
 # Weight of the newest answer, and the seconds that are expected and taken
 # before the first one: three answers of an idle engine.
@@ -59,19 +57,20 @@
         'is_removed',
         'kept',
         'last_resort_until',
-        'limit',
         'own',
         'own_read_tokens',
         'paced_at',
+        'pushback',
         'record',
         'reported',
         'seconds_per_call',
         'unreachable_until',
-        'unreadable',
     )
 
-    def __init__(self, record: TargetRecord) -> None:
-        """Take what the target tells of itself."""
+    def __init__(
+        self, record: TargetRecord, pushback: Pushback | None = None
+    ) -> None:
+        """Take what the target tells of itself, and what it asked for."""
         self.record = record
         self.own = Load()
         self.own_read_tokens = 0.0
@@ -84,15 +83,13 @@
         # When any answer of the target last brought something here.
         self.heard_at = float('-inf')
         self.failures = 0
-        # Headers of its answers that could not be read, logged once each.
-        self.unreadable: set[str] = set()
         self.failing_share = 0.0
         self.seconds_per_call = limits.CALL_SECONDS
         # None while the target stays; else until when it may be used if
         # nothing else is left.
         self.last_resort_until: float | None = None
         self.is_removed = False
-        self.limit = RequestLimit(record.instance)
+        self.pushback = pushback or Pushback(record.instance)
         self.kept = KeptParts()
         # Seconds that answers took and that were expected, the latest most.
         self._taken_seconds = SPEED_START_SECONDS
@@ -136,36 +133,6 @@
             expected_seconds - self._expected_seconds
         )
 
-    def note_answer(
-        self, clock: Clock, sent_at: float, head: AnswerHead
-    ) -> None:
-        """Take what the head of an answer asks of this host."""
-        if head.status == HTTPStatus.MISDIRECTED_REQUEST:
-            # Another target has the address now.
-            return
-        facts = head.facts
-        for name, content in facts.unreadable.items():
-            if name not in self.unreadable:
-                self.unreadable.add(name)
-                logs.warning(
-                    'target_header_unreadable',
-                    target=self.record.instance,
-                    header=name,
-                    content=content,
-                )
-        # What fails may come from a process that no longer says what it needs.
-        is_failure = head.status >= HTTPStatus.BAD_REQUEST
-        if facts.limit_per_second is not None or not is_failure:
-            self.limit.note_answer(
-                facts.limit_per_second, sent_at, clock.monotonic()
-            )
-
-    def barrier_reason(self, *, is_counted: bool) -> str:
-        """Return why a request may not be sent now, nothing if it may."""
-        if self.limit.per_second is not None and not is_counted:
-            return 'target_limit'
-        return ''
-
     def note_failure(self, now: float, *, is_unreachable: bool) -> None:
         """Take that the target failed a request."""
         self.failures += 1
--- a/jacinthfold/placement/targets.py
+++ b/jacinthfold/placement/targets.py
@@ -8,6 +8,7 @@
 from jacinthfold.placement import limits
 from jacinthfold.placement.kept import RecentUses
 from jacinthfold.placement.law import Laws
+from jacinthfold.placement.pushback import KeptPushback
 from jacinthfold.placement.target import Load, Target
 
 
@@ -29,6 +30,7 @@
         self._totals_from: dict[str, tuple[str, int]] = {}
         # Earlier lives of targets that started again, until they are told.
         self._ended: list[Target] = []
+        self._kept_pushback = KeptPushback()
         self._services: Mapping[str, Service] = {}
         self.evacuated: frozenset[str] = frozenset()
         self.laws = Laws()
@@ -126,6 +128,7 @@
         ]
         for target in gone:
             self._targets.pop(target.record.instance)
+            self._kept_pushback.keep(target.record.life, target.pushback)
         if gone:
             self._index()
         gone.extend(self._ended)
@@ -217,7 +220,8 @@
             self._by_place.setdefault(place, []).append(target)
 
     def _enter(self, record: TargetRecord, earlier: Target | None) -> Target:
-        target = Target(record)
+        pushback = self._kept_pushback.take(record.life, record.instance)
+        target = Target(record, pushback)
         if earlier is not None:
             # Nothing else of the earlier life holds. Its pace does: the bound
             # on a cold target counts requests to the instance.
--- a/jacinthfold/proxy/attempts.py
+++ b/jacinthfold/proxy/attempts.py
@@ -101,9 +101,11 @@
         prompt = unread.UnreadPrompt(estimate, request)
         delivery.on_first_event = prompt.note_read
         delivery.target_barrier = partial(
-            target.barrier_reason, is_counted=estimate.is_counted
+            target.pushback.barrier_reason, is_counted=estimate.is_counted
+        )
+        delivery.on_head = lambda head: target.pushback.note_answer(
+            head, began_at, self._clock.monotonic()
         )
-        delivery.on_head = partial(target.note_answer, self._clock, began_at)
         try:
             outcome = await self._exchange(
                 target.place, CONNECT_SECONDS, request, headers, delivery
--- a/tests/gateway/test_limit_shares.py
+++ b/tests/gateway/test_limit_shares.py
@@ -63,7 +63,9 @@
         for host, target, sent_at, per_second in self._answers:
             if host.is_running:
                 clock = self.fleet.clock
-                target.note_answer(clock, sent_at, answer(per_second))
+                target.pushback.note_answer(
+                    answer(per_second), sent_at, clock.monotonic()
+                )
         self._answers = []
 
     def _ask(self):
@@ -114,7 +116,7 @@
     region.limits.clear()
     region.run(10, per_second=100)
     limits = {
-        host.scene.targets.find('i-0').limit.per_second
+        host.scene.targets.find('i-0').pushback.limit.per_second
         for host in region.fleet.running().values()
     }
     assert limits == {None}
@@ -190,7 +192,7 @@
     scene = Scene()
     target = scene.add('i-1')
     scene.clock.advance(10)
-    target.note_answer(scene.clock, 0.0, answer(1.0))
+    target.pushback.note_answer(answer(1.0), 0.0, scene.clock.monotonic())
     # One request is saved up: enough for an urgent one alone.
     scene.choose(scene.request())
     scene.clock.advance(1.2 / GRANTED_SHARE)
@@ -208,10 +210,10 @@
     choice = scene.choose(request)
     scene.placer.note_sent(choice, request)
     counted = choice.estimate.is_counted
-    assert not target.barrier_reason(is_counted=counted)
-    target.note_answer(scene.clock, 0.0, answer(1.0))
-    assert target.barrier_reason(is_counted=counted) == 'target_limit'
-    assert not target.barrier_reason(is_counted=True)
+    assert not target.pushback.barrier_reason(is_counted=counted)
+    target.pushback.note_answer(answer(1.0), 0.0, scene.clock.monotonic())
+    assert target.pushback.barrier_reason(is_counted=counted) == 'target_limit'
+    assert not target.pushback.barrier_reason(is_counted=True)
 
 
 def test_answer_of_another_target_says_nothing_of_this_one():
@@ -219,31 +221,33 @@
     scene = Scene()
     target = scene.add('i-1')
     wrong = answer(1.0, HTTPStatus.MISDIRECTED_REQUEST)
-    target.note_answer(scene.clock, 0.0, wrong)
-    assert target.limit.per_second is None
+    target.pushback.note_answer(wrong, 0.0, scene.clock.monotonic())
+    assert target.pushback.limit.per_second is None
 
 
 def test_failed_answer_does_not_end_a_limit():
     """Guards against a limit that the target's errors lift."""
     scene = Scene()
     target = scene.add('i-1')
-    target.note_answer(scene.clock, 0.0, answer(1.0))
+    target.pushback.note_answer(answer(1.0), 0.0, scene.clock.monotonic())
     scene.clock.advance(1)
     sent_at = scene.clock.monotonic()
-    target.note_answer(scene.clock, sent_at, answer(None, 500))
-    assert target.limit.per_second == 1.0
-    target.note_answer(scene.clock, sent_at, answer(None))
-    assert target.limit.per_second is None
+    target.pushback.note_answer(
+        answer(None, 500), sent_at, scene.clock.monotonic()
+    )
+    assert target.pushback.limit.per_second == 1.0
+    target.pushback.note_answer(answer(None), sent_at, scene.clock.monotonic())
+    assert target.pushback.limit.per_second is None
 
 
 def test_next_life_has_no_limit_and_late_answers_don_t_mark_it():
     """Guards against a limit that outlives the process that named it."""
     scene = Scene()
     first = scene.add('i-1', born_ms=1)
-    first.note_answer(scene.clock, 0.0, answer(1.0))
+    first.pushback.note_answer(answer(1.0), 0.0, scene.clock.monotonic())
     again = scene.add('i-1', born_ms=2)
-    first.note_answer(scene.clock, 0.0, answer(1.0))
-    assert again.limit.per_second is None
+    first.pushback.note_answer(answer(1.0), 0.0, scene.clock.monotonic())
+    assert again.pushback.limit.per_second is None
 
 
 @pytest.mark.parametrize(
@@ -264,4 +268,17 @@
     digest = Digest('north', 'n-2', 'x', 1, '10.9.9.9', 0, 1, 0, [])
     digest.limits = {'i-0': word}
     host.heartbeats._digests.take(digest)
-    assert host.scene.targets.find('i-0').limit.per_second is None
+    assert host.scene.targets.find('i-0').pushback.limit.per_second is None
+
+
+def test_limit_outlives_a_record_that_lapses():
+    """Guards against a target in need that the store's outage makes new."""
+    scene = Scene()
+    target = scene.add('i-1', born_ms=1)
+    target.pushback.note_answer(answer(1.0), 0.0, scene.clock.monotonic())
+    scene.targets.remove('i-1')
+    scene.clock.advance(5)
+    assert scene.targets.forget_gone() == [target]
+    again = scene.add('i-1', born_ms=1)
+    assert again.pushback.limit.per_second == 1.0
+    assert scene.add('i-1', born_ms=2).pushback.limit.per_second is None
