Soak with targets that name limits

Limits of .5 to 8 a second, a tenth of the words unreadable, amid all faults of the other soak; counted are hosts that the target had told and that were not stopped, killed or frozen since.

--- a/tests/gateway/test_soak.py
+++ b/tests/gateway/test_soak.py
@@ -5,10 +5,13 @@
 from tests.gateway.soak import run_seed
 from tests.gateway.soak_endings import EndingsSoak
 from tests.gateway.soak_organisations import OrganisationsSoak
+from tests.gateway.soak_pushback import PushbackSoak
 
 SECONDS = 8
 # Long enough for the store to be away for longer than keys may outlive it.
 ORGANISATIONS_SECONDS = 11
+# Limits are binding five seconds after they are named.
+PUSHBACK_SECONDS = 16
 # Seeds that once failed stay, with their length and the cause.
 FAILED_ONCE = {
     (3, 8): 'SIGTERM while the libraries were loading killed the process',
@@ -60,3 +63,12 @@
     assert problems == []
     assert faults['store_long']
     assert seen
+
+
+@pytest.mark.parametrize('seed', [1])
+def test_targets_get_what_they_ask_for_under_random_faults(seed):
+    """Guards against hosts that forget what targets asked for amid faults."""
+    problems, faults, seen = run_seed(seed, PUSHBACK_SECONDS, PushbackSoak)
+    assert problems == []
+    assert faults['limit']
+    assert seen
