--- a/jacinthfold/placement/pushback.py
+++ b/jacinthfold/placement/pushback.py
@@ -13,13 +13,15 @@
 class Pushback:
     """Hold what one life of a target asks for."""
 
-    __slots__ = ('_instance', '_unreadable', 'limit')
+    __slots__ = ('_instance', '_unreadable', 'leaving_since', 'limit')
 
     def __init__(self, instance: str) -> None:
         """Start with a target that asks for nothing."""
         self._instance = instance
         # Headers that could not be read, logged once each.
         self._unreadable: set[str] = set()
+        # When an answer first said that the target will end.
+        self.leaving_since: float | None = None
         self.limit = RequestLimit(instance)
 
     def note_answer(self, head: AnswerHead, sent_at: float, now: float) -> None:
@@ -29,6 +31,9 @@
             return
         facts = head.facts
         self._log_unreadable(facts.unreadable)
+        if facts.is_leaving and self.leaving_since is None:
+            self.leaving_since = now
+            logs.event('target_leaving', target=self._instance, source='answer')
         # What fails may come from a process that no longer says what it needs.
         is_failure = head.status >= HTTPStatus.BAD_REQUEST
         if facts.limit_per_second is not None or not is_failure:
--- a/jacinthfold/placement/targets.py
+++ b/jacinthfold/placement/targets.py
@@ -253,6 +253,7 @@
         logs.event(
             'target_leaving',
             target=target.record.instance,
+            source='record',
             draining=target.record.is_draining,
             remaining_seconds=remaining_seconds or 0.0,
         )
--- a/jacinthfold/platform/dialect.py
+++ b/jacinthfold/platform/dialect.py
@@ -26,6 +26,7 @@
 COPY_FROM = b'Kv-Fetch'
 RETRY_AFTER = b'Retry-After'
 LIMIT = b'Server-Limit'
+LEAVING = b'Server-Leaving'
 CREDENTIALS = b'Authorization'
 ORGANISATION = b'Tenant'
 
@@ -90,6 +91,7 @@
         facts.idle_seconds = _idle_seconds(headers)
         cold_ms = _text(headers, COLD)
         facts.cold_seconds = float(cold_ms) / _MS if cold_ms else None
+        facts.is_leaving = _is_leaving(headers, facts)
         facts.limit_per_second = _limit_per_second(headers, facts)
         return facts
 
@@ -162,6 +164,16 @@
     return tuple(parts)
 
 
+def _is_leaving(headers: Headers, facts: AnswerFacts) -> bool:
+    told = False
+    for content in _all(headers, LEAVING):
+        if content.strip() == b'1':
+            told = True
+        else:
+            _note_unreadable(facts, LEAVING, content)
+    return told
+
+
 def _limit_per_second(headers: Headers, facts: AnswerFacts) -> float | None:
     named = []
     for content in _all(headers, LIMIT):
--- a/jacinthfold/request/messages.py
+++ b/jacinthfold/request/messages.py
@@ -188,6 +188,7 @@
     __slots__ = (
         'cold_seconds',
         'idle_seconds',
+        'is_leaving',
         'is_not_run',
         'is_sealed',
         'limit_per_second',
@@ -200,6 +201,8 @@
         self.request_id = ''
         # Requests that the target takes from all hosts together.
         self.limit_per_second: float | None = None
+        # Whether it asks for no more requests, since it will end.
+        self.is_leaving = False
         # What it asks for in words that can't be read, by header.
         self.unreadable: dict[str, str] = {}
         self.is_not_run = False
--- a/tests/gateway/test_translation.py
+++ b/tests/gateway/test_translation.py
@@ -337,3 +337,22 @@
     assert facts.limit_per_second is not None or (
         bool(facts.unreadable) == bool(contents)
     )
+
+
+@pytest.mark.parametrize(
+    ('contents', 'is_leaving', 'is_unreadable'),
+    [
+        ([b'1'], True, False),
+        ([b' 1 '], True, False),
+        ([b'0', b'1'], True, True),
+        ([b'0'], False, True),
+        ([b'yes'], False, True),
+        ([b'1' * 400], False, True),
+        ([], False, False),
+    ],
+)
+def test_leaving_is_said_by_one_word(contents, is_leaving, is_unreadable):
+    headers = [(b'Server-Leaving', content) for content in contents]
+    facts = PlatformDialect().read_answer(200, headers)
+    assert facts.is_leaving is is_leaving
+    assert bool(facts.unreadable) is is_unreadable
