Rests that targets ask for are decoded and logged

It is read from 503 answers, bounded at 60 s, and logged as target_rests. No decision goes by it yet.

--- a/jacinthfold/placement/pushback.py
+++ b/jacinthfold/placement/pushback.py
@@ -13,7 +13,13 @@
 class Pushback:
     """Hold what one life of a target asks for."""
 
-    __slots__ = ('_instance', '_unreadable', 'leaving_since', 'limit')
+    __slots__ = (
+        '_instance',
+        '_unreadable',
+        'leaving_since',
+        'limit',
+        'rest_until',
+    )
 
     def __init__(self, instance: str) -> None:
         """Start with a target that asks for nothing."""
@@ -23,6 +29,8 @@
         # When an answer first said that the target will end.
         self.leaving_since: float | None = None
         self.limit = RequestLimit(instance)
+        # Until when it wants nothing from this host.
+        self.rest_until = float('-inf')
 
     def note_answer(self, head: AnswerHead, sent_at: float, now: float) -> None:
         """Take the head of an answer to a request that was sent at a time."""
@@ -34,6 +42,8 @@
         if facts.is_leaving and self.leaving_since is None:
             self.leaving_since = now
             logs.event('target_leaving', target=self._instance, source='answer')
+        if facts.rest_seconds is not None:
+            self._note_rest(facts.rest_seconds, now)
         # What fails may come from a process that no longer says what it needs.
         is_failure = head.status >= HTTPStatus.BAD_REQUEST
         if facts.limit_per_second is not None or not is_failure:
@@ -45,6 +55,11 @@
             return 'target_limit'
         return ''
 
+    def _note_rest(self, seconds: float, now: float) -> None:
+        if now >= self.rest_until:
+            logs.event('target_rests', target=self._instance, seconds=seconds)
+        self.rest_until = max(self.rest_until, now + seconds)
+
     def _log_unreadable(self, unreadable: dict[str, str]) -> None:
         for name in unreadable.keys() - self._unreadable:
             self._unreadable.add(name)
--- a/jacinthfold/platform/dialect.py
+++ b/jacinthfold/platform/dialect.py
@@ -1,6 +1,7 @@
 """Translate the platform's headers."""
 
 import re
+from http import HTTPStatus
 
 from jacinthfold.organisations.credentials import bearer_digest
 from jacinthfold.request.messages import (
@@ -53,6 +54,9 @@
 TOKENS_LIMIT = 1_000_000_000
 # Requests a second beyond which a limit is a mistake of its writer.
 MOST_PER_SECOND = 1_000_000.0
+# Longer rests are asked for again after this: a mistaken word must not take a
+# target away for good.
+MOST_REST_SECONDS = 60.0
 # Characters of an unreadable number that are logged.
 SHOWN_CHARACTERS = 20
 _MS = 1000
@@ -92,6 +96,8 @@
         cold_ms = _text(headers, COLD)
         facts.cold_seconds = float(cold_ms) / _MS if cold_ms else None
         facts.is_leaving = _is_leaving(headers, facts)
+        if status == HTTPStatus.SERVICE_UNAVAILABLE:
+            facts.rest_seconds = _rest_seconds(headers, facts)
         facts.limit_per_second = _limit_per_second(headers, facts)
         return facts
 
@@ -174,6 +180,17 @@
     return told
 
 
+def _rest_seconds(headers: Headers, facts: AnswerFacts) -> float | None:
+    named = []
+    for content in _all(headers, RETRY_AFTER):
+        seconds = _number(content)
+        if seconds is None:
+            _note_unreadable(facts, RETRY_AFTER, content)
+        else:
+            named.append(min(seconds, MOST_REST_SECONDS))
+    return max(named, default=0.0) or None
+
+
 def _limit_per_second(headers: Headers, facts: AnswerFacts) -> float | None:
     named = []
     for content in _all(headers, LIMIT):
--- a/jacinthfold/request/messages.py
+++ b/jacinthfold/request/messages.py
@@ -193,6 +193,7 @@
         'is_sealed',
         'limit_per_second',
         'request_id',
+        'rest_seconds',
         'unreadable',
     )
 
@@ -203,6 +204,9 @@
         self.limit_per_second: float | None = None
         # Whether it asks for no more requests, since it will end.
         self.is_leaving = False
+        # For how long it wants nothing from this host, having turned a request
+        # away.
+        self.rest_seconds: float | None = None
         # What it asks for in words that can't be read, by header.
         self.unreadable: dict[str, str] = {}
         self.is_not_run = False
--- a/tests/gateway/test_translation.py
+++ b/tests/gateway/test_translation.py
@@ -16,7 +16,7 @@
 from jacinthfold.gateway import settings
 from jacinthfold.placement.regions import RegionView
 from jacinthfold.placement.targets import TargetTable
-from jacinthfold.platform.dialect import PlatformDialect
+from jacinthfold.platform.dialect import MOST_REST_SECONDS, PlatformDialect
 from jacinthfold.platform.documents import PlatformReader
 from jacinthfold.proxy.events import EventSplitter
 from jacinthfold.request.messages import Request, without_framing
@@ -356,3 +356,28 @@
     facts = PlatformDialect().read_answer(200, headers)
     assert facts.is_leaving is is_leaving
     assert bool(facts.unreadable) is is_unreadable
+
+
+@pytest.mark.parametrize(
+    ('contents', 'rest_seconds', 'is_unreadable'),
+    [
+        ([b'3'], 3.0, False),
+        ([b'0.25'], 0.25, False),
+        ([b'1', b'2'], 2.0, False),
+        ([b'31536000'], MOST_REST_SECONDS, False),
+        ([b'0'], None, False),
+        ([b'-1'], None, True),
+        ([b'nan'], None, True),
+        ([b'inf'], None, True),
+        ([b'9' * 400], None, True),
+        ([b'Thu, 03 Dec 2026 09:00:00 GMT'], None, True),
+        ([b'Thu, 03 Dec 2026 09:00:00 GMT', b'2'], 2.0, True),
+        ([], None, False),
+    ],
+)
+def test_rest_is_a_bounded_number(contents, rest_seconds, is_unreadable):
+    headers = [(b'Retry-After', content) for content in contents]
+    facts = PlatformDialect().read_answer(503, headers)
+    assert facts.rest_seconds == rest_seconds
+    assert bool(facts.unreadable) is is_unreadable
+    assert PlatformDialect().read_answer(429, headers).rest_seconds is None
