Numbers with many decimals are numbers

At most 12 decimals were read, a binary fraction written out has up to 17. Up to 30 are read now; the two new cases failed before.

--- a/jacinthfold/platform/dialect.py
+++ b/jacinthfold/platform/dialect.py
@@ -60,7 +60,7 @@
 # Characters of an unreadable number that are logged.
 SHOWN_CHARACTERS = 20
 _MS = 1000
-_DECIMAL = re.compile(r'[0-9]{1,12}(\.[0-9]{1,12})?')
+_DECIMAL = re.compile(r'[0-9]{1,12}(\.[0-9]{1,30})?')
 
 
 class PlatformDialect:
--- a/tests/gateway/test_translation.py
+++ b/tests/gateway/test_translation.py
@@ -311,6 +311,7 @@
     [
         ([b'1.2'], 1.2),
         ([b' 40 '], 40.0),
+        ([b'1.2000000000000002'], 1.2000000000000002),
         ([b'2', b'1.5'], 1.5),
         ([b'nan', b'3'], 3.0),
         ([b'0'], None),
@@ -363,6 +364,7 @@
     [
         ([b'3'], 3.0, False),
         ([b'0.25'], 0.25, False),
+        ([b'2.5374448024158793'], 2.5374448024158793, False),
         ([b'1', b'2'], 2.0, False),
         ([b'31536000'], MOST_REST_SECONDS, False),
         ([b'0'], None, False),
