What a target asked for before its record came holds for its life

A target that starts again may answer before hosts hear its record: its rest or limit was noted at the life before and dropped as the record came. Words heard after the birth that the record tells are taken over; leaving is not, since a late answer of the life before would take the next one away for good.

--- a/jacinthfold/placement/pushback.py
+++ b/jacinthfold/placement/pushback.py
@@ -1,5 +1,6 @@
 """Hold what a target asks of this host in its answers."""
 
+from copy import copy
 from http import HTTPStatus
 
 from jacinthfold import logs
@@ -51,6 +52,19 @@
         if facts.limit_per_second is not None or not is_failure:
             self.limit.note_answer(facts.limit_per_second, sent_at, now)
 
+    def of_next_life(self, began_at: float) -> 'Pushback':
+        """Return what the next life asks for, which began at a time."""
+        # Its record may come later than its first answers, and what they
+        # asked for was noted here. Leaving is not taken over: a late answer of
+        # this life would take the next one away for good, while rests and
+        # limits end.
+        following = Pushback(self._instance)
+        if self.rest.asked_at >= began_at:
+            following.rest = copy(self.rest)
+        if self.limit.named_at >= began_at:
+            following.limit = copy(self.limit)
+        return following
+
     def barrier_reason(self, now: float, *, is_counted: bool) -> str:
         """Return why a request may not be sent now, nothing if it may."""
         if now < self.rest.until:
--- a/jacinthfold/placement/rest.py
+++ b/jacinthfold/placement/rest.py
@@ -10,11 +10,13 @@
 class Rest:
     """Hold whether a target may be used after it turned requests away."""
 
-    __slots__ = ('_instance', '_is_on_trial', '_tried_at', 'until')
+    __slots__ = ('_instance', '_is_on_trial', '_tried_at', 'asked_at', 'until')
 
     def __init__(self, instance: str) -> None:
         """Start with a target that takes requests."""
         self._instance = instance
+        # When it last asked for one.
+        self.asked_at = float('-inf')
         # Until when it wants nothing from this host.
         self.until = float('-inf')
         self._is_on_trial = False
@@ -34,6 +36,7 @@
         """Take that the target turned a request away and wants nothing."""
         if now >= self.until:
             logs.event('target_rests', target=self._instance, seconds=seconds)
+        self.asked_at = now
         self.until = max(self.until, now + seconds)
         self._is_on_trial = True
         self._tried_at = float('-inf')
--- a/jacinthfold/placement/targets.py
+++ b/jacinthfold/placement/targets.py
@@ -221,6 +221,9 @@
 
     def _enter(self, record: TargetRecord, earlier: Target | None) -> Target:
         pushback = self._kept_pushback.take(record.life, record.instance)
+        if earlier is not None:
+            began_at = _began_at(record, self._clock)
+            pushback = earlier.pushback.of_next_life(began_at)
         target = Target(record, pushback)
         if earlier is not None:
             # Nothing else of the earlier life holds. Its pace does: the bound
@@ -263,6 +266,12 @@
     return (record.life, record.service, record.data_centre)
 
 
+def _began_at(record: TargetRecord, clock: Clock) -> float:
+    """Return when a life began, by the monotonic clock."""
+    born_seconds = (record.born_ms or 0) / 1000
+    return clock.monotonic() - clock.now().timestamp() + born_seconds
+
+
 def _is_other_life(target: Target, record: TargetRecord) -> bool:
     # Any other start is another life, an earlier one too: the clock of a
     # target may have gone back, and records come in the store's order.
--- a/tests/gateway/limited_targets.py
+++ b/tests/gateway/limited_targets.py
@@ -93,6 +93,11 @@
             self.answers.append((time.monotonic(), answer))
 
 
+def born_now(scene):
+    """Return a birth a moment after the time of a scene."""
+    return int(scene.clock.now().timestamp() * 1000) + 1
+
+
 def start(deployment, hosts, targets, prefix='/d/'):
     """Start hosts before targets of one service, and wait until they serve."""
     deployment.put_routes(route(prefix, 'desk', 'idempotent'))
