--- a/tools/proxy.py
+++ b/tools/proxy.py
@@ -119,12 +119,13 @@
     def _open(self, link: Link) -> None:
         try:
             link.server = socket.create_connection(self.origin, timeout=5)
+            link.server.settimeout(None)
+            for end in (link.client, link.server):
+                end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         except OSError:
+            # A test may have closed the link meanwhile.
             link.close(reset=True)
             return
-        link.server.settimeout(None)
-        for end in (link.client, link.server):
-            end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         threading.Thread(
             target=self._pump,
             args=(link, link.server, link.client, 'down'),
