Soak counts the restart of a host as what excuses it, not its signal alone

The platform excuses what was told before a restart, and the restart was not noted, only the signal.

--- a/tests/gateway/soak.py
+++ b/tests/gateway/soak.py
@@ -341,9 +341,11 @@
 
     def __init__(self, host):
         self.host = host
+        self.healed_at = None
 
     def __call__(self):
         self.host.signal(signal.SIGCONT)
+        self.healed_at = time.monotonic()
 
 
 class Restart:
@@ -353,6 +355,7 @@
         self.host = host
         self._problems = problems
         self._how = how
+        self.healed_at = None
 
     def __call__(self):
         status = self.host.process.wait()
@@ -362,6 +365,7 @@
         if self._how == 'term' and status != 0 and has_begun:
             self._problems.append(f'{self.host.name}: stop ended with {status}')
         self.host.start()
+        self.healed_at = time.monotonic()
 
 
 class Caller:
--- a/tests/gateway/soak_pushback.py
+++ b/tests/gateway/soak_pushback.py
@@ -266,7 +266,7 @@
     def _later(self, seconds, heal):
         now = time.monotonic()
         if isinstance(heal, Thaw | Restart):
-            self.hurt_hosts[heal.host.name].append(now)
+            self.hurt_hosts[heal.host.name].append((now, heal))
         for name, proxy in self.proxies.items():
             if getattr(heal, '__self__', None) is proxy:
                 self.hurt_links[name].append((now, now + seconds))
@@ -298,7 +298,11 @@
 
     def is_hurt(self, host, since, until):
         """Tell whether a host was stopped, killed or frozen meanwhile."""
-        return any(since <= at <= until for at in self.hurt_hosts.get(host, ()))
+        return any(
+            since <= began_at <= until
+            or since <= (heal.healed_at or began_at) <= until
+            for began_at, heal in self.hurt_hosts.get(host, ())
+        )
 
     def is_link_hurt(self, name, at):
         """Tell whether bytes to a target may have been held back."""
