Tests' proxy never loses bytes from the middle of a link

The proxy dropped bytes while a one-way cut lasted and passed the next ones on the same link after it healed, which TCP never does; events come as whole chunks, so the rest looked proper. A link that lost bytes in a direction loses all later ones now: a harder fault for hosts than before.

--- a/tools/proxy.py
+++ b/tools/proxy.py
@@ -184,6 +184,8 @@
         payload: bytes,
     ) -> None:
         if self._loses(link, direction):
+            # Bytes after lost ones don't come either, whatever heals.
+            link.dropped.add(direction)
             return
         time.sleep(link.delay_seconds or self.delay_seconds)
         drip_seconds = link.drip_seconds or self.drip_seconds
