--- a/jacinthfold/placement/choice.py
+++ b/jacinthfold/placement/choice.py
@@ -13,17 +13,16 @@
 from jacinthfold.placement.limit_shares import LimitShares
 from jacinthfold.placement.pace import ColdPace
 from jacinthfold.placement.regions import RegionView, RemoteRegion
-from jacinthfold.placement.returns import LONGEST_SECONDS, ReturnSchedule
+from jacinthfold.placement.returns import ReturnSchedule
 from jacinthfold.placement.target import Target
 from jacinthfold.placement.targets import TargetTable
+from jacinthfold.placement.usable import UsableTargets
 from jacinthfold.request.messages import Request
 
 # Returns are spread over this time, so that callers that were refused
 # together don't come back together.
 RETURN_SPREAD_SECONDS = 0.8
 RETURN_AT_LEAST_SECONDS = 0.1
-# When no target is usable: cold ones take the next request after 0.3 s.
-NO_TARGET_SECONDS = 0.3
 # Plain calls are short: one that is late by a few aims is still worth more
 # served than sent away.
 PLAIN_LATE_AIMS = 4
@@ -53,7 +52,9 @@
         self._estimator = Estimator(targets)
         self._herd = Herd()
         self.limit_shares = LimitShares(pace.ranks.own_name, clock)
-        self._returns = ReturnSchedule(clock)
+        self._usable = UsableTargets(
+            region, targets, pace, self.limit_shares, ReturnSchedule(clock)
+        )
 
     def choose(
         self,
@@ -82,11 +83,8 @@
         target = choice.estimate.target
         now = self._clock.monotonic()
         self._herd.note_sent(request.service_name, now)
-        if target.cold_until > now:
-            self._pace.note_sent(target, now)
         estimate = choice.estimate
-        target.pushback.rest.note_sent(now)
-        estimate.is_counted = self.limit_shares.note_sent(target, now)
+        estimate.is_counted = self._usable.note_sent(target, now)
         target.note_sent(request.facts.chain, estimate.unread_tokens)
         shared = request.facts.shared_chain
         if shared and shared[-1].tokens >= limits.COPY_AT_LEAST_TOKENS:
@@ -98,7 +96,9 @@
         now = self._clock.monotonic()
         waits = [
             self._estimator.wait_seconds(target, now, is_urgent=is_urgent)
-            for target in self._usable(service, (), now, is_urgent=is_urgent)
+            for target in self._usable.find(
+                service, (), now, is_urgent=is_urgent
+            )
         ]
         return min(waits, default=None)
 
@@ -108,7 +108,7 @@
         if not request.allows(self._region):
             return None
         now = self._clock.monotonic()
-        usable = self._usable(
+        usable = self._usable.find(
             request.service_name, tried, now, is_urgent=request.is_urgent
         )
         if not usable:
@@ -192,51 +192,6 @@
         slowness = max(1.0, estimate.target.slowness)
         return estimate.seconds * slowness < aim * limits.KEEP_SHARE - elapsed
 
-    def _usable(
-        self,
-        service: str,
-        tried: Collection[str],
-        now: float,
-        *,
-        is_urgent: bool,
-    ) -> list[Target]:
-        here = [
-            target
-            for target in self._targets.of(service, self._region)
-            if target.record.data_centre not in self._targets.evacuated
-            and target.record.instance not in tried
-            # Nothing listens there. As the seemingly idlest target it would
-            # take request after request that another region could serve.
-            and target.unreachable_until <= now
-            and self._is_warm_enough(target, now)
-            and self._is_asked_for(target, now, is_urgent=is_urgent)
-        ]
-        staying = [one for one in here if one.last_resort_until is None]
-        sound = [one for one in staying if one.ejected_until <= now]
-        if sound:
-            return sound
-        return staying or [
-            one
-            for one in here
-            if one.last_resort_until is not None and one.last_resort_until > now
-        ]
-
-    def _is_asked_for(
-        self, target: Target, now: float, *, is_urgent: bool
-    ) -> bool:
-        """Tell whether a target takes a request by what it asked for."""
-        if not target.pushback.rest.allows(now):
-            return False
-        return self.limit_shares.allows(target, now, is_urgent=is_urgent)
-
-    def _is_warm_enough(self, target: Target, now: float) -> bool:
-        if target.cold_until <= now:
-            return True
-        service = self._targets.service(target.record.service)
-        if service.cold_requests_per_second <= 0:
-            return True
-        return self._pace.allows(target, service.cold_requests_per_second, now)
-
     def _spread_seconds(
         self, request: Request, estimates: list[Estimate], now: float
     ) -> float:
@@ -286,31 +241,17 @@
             return self._nothing_usable(request)
         least = min(waits)
         if self._is_worth_waiting(request, least):
-            return self._nearest(best, remote)
+            return self._nearest(request, best, remote)
         half_aim = request.route.aim_seconds / 2
         after_seconds = self._return_seconds(least - half_aim)
         return Refuse('late', after_seconds, best, remote)
 
     def _nothing_usable(self, request: Request) -> Refuse:
-        """Say when a caller may find a target, where there is none now."""
-        service = request.service_name
-        now = self._clock.monotonic()
-        pushbacks = [
-            target.pushback
-            for target in self._targets.of(service, self._region)
-            if target.last_resort_until is None
-        ]
-        rests = [one.rest.until for one in pushbacks if one.rest.until > now]
-        limits_named = [one.limit for one in pushbacks if one.limit.per_second]
-        reason, after_seconds = 'no_target', NO_TARGET_SECONDS
-        if limits_named:
-            reason = 'target_limits'
-            per_second = self.limit_shares.mean_per_second(limits_named)
-            after_seconds = self._returns.after_seconds(service, per_second)
-        elif rests:
-            reason = 'targets_rest'
-            after_seconds = min(LONGEST_SECONDS, min(rests) - now)
-        return Refuse(reason, self._return_seconds(after_seconds))
+        refusal = self._usable.absence(
+            request.service_name, self._clock.monotonic()
+        )
+        refusal.after_seconds = self._return_seconds(refusal.after_seconds)
+        return refusal
 
     def _is_worth_waiting(self, request: Request, seconds: float) -> bool:
         """Tell whether a request is served although it will be late."""
@@ -326,7 +267,10 @@
         return is_large and seconds - read_seconds < aim / 2
 
     def _nearest(
-        self, best: Estimate | None, remote: RemoteRegion | None
+        self,
+        request: Request,
+        best: Estimate | None,
+        remote: RemoteRegion | None,
     ) -> Choice:
         if best is None and remote is not None:
             return PassTo(remote)
@@ -335,7 +279,7 @@
             return SendTo(best) if is_here else PassTo(remote)
         if best is not None:
             return SendTo(best)
-        return Refuse('no_target', self._return_seconds(NO_TARGET_SECONDS))
+        return self._nothing_usable(request)
 
     def _return_seconds(self, wait_seconds: float) -> float:
         spread = self._random.uniform(0, RETURN_SPREAD_SECONDS)
--- /dev/null
+++ b/jacinthfold/placement/usable.py
@@ -0,0 +1,105 @@
+"""Say which targets of a region may be sent a request now, and why not."""
+
+from collections.abc import Collection
+
+from jacinthfold.placement.decision import Refuse
+from jacinthfold.placement.limit_shares import LimitShares
+from jacinthfold.placement.pace import ColdPace
+from jacinthfold.placement.returns import LONGEST_SECONDS, ReturnSchedule
+from jacinthfold.placement.target import Target
+from jacinthfold.placement.targets import TargetTable
+
+# When no target is usable: cold ones take the next request after 0.3 s.
+NO_TARGET_SECONDS = 0.3
+
+
+class UsableTargets:
+    """Find the targets of a region that a request may go to."""
+
+    __slots__ = ('_limit_shares', '_pace', '_region', '_returns', '_targets')
+
+    def __init__(
+        self,
+        region: str,
+        targets: TargetTable,
+        pace: ColdPace,
+        limit_shares: LimitShares,
+        returns: ReturnSchedule,
+    ) -> None:
+        """Take the targets and what bounds requests to them."""
+        self._region = region
+        self._targets = targets
+        self._pace = pace
+        self._limit_shares = limit_shares
+        self._returns = returns
+
+    def find(
+        self,
+        service: str,
+        tried: Collection[str],
+        now: float,
+        *,
+        is_urgent: bool,
+    ) -> list[Target]:
+        """Return the targets of a service, the soundest kind that there is."""
+        here = [
+            target
+            for target in self._targets.of(service, self._region)
+            if target.record.data_centre not in self._targets.evacuated
+            and target.record.instance not in tried
+            # Nothing listens there. As the seemingly idlest target it would
+            # take request after request that another region could serve.
+            and target.unreachable_until <= now
+            and self._is_warm_enough(target, now)
+            and self._is_asked_for(target, now, is_urgent=is_urgent)
+        ]
+        staying = [one for one in here if one.last_resort_until is None]
+        sound = [one for one in staying if one.ejected_until <= now]
+        if sound:
+            return sound
+        return staying or [
+            one
+            for one in here
+            if one.last_resort_until is not None and one.last_resort_until > now
+        ]
+
+    def note_sent(self, target: Target, now: float) -> bool:
+        """Take that a request leaves; tell whether a limit counts it."""
+        if target.cold_until > now:
+            self._pace.note_sent(target, now)
+        target.pushback.rest.note_sent(now)
+        return self._limit_shares.note_sent(target, now)
+
+    def absence(self, service: str, now: float) -> Refuse:
+        """Say why there is no target, and when there may be one."""
+        pushbacks = [
+            target.pushback
+            for target in self._targets.of(service, self._region)
+            if target.last_resort_until is None
+        ]
+        named = [one.limit for one in pushbacks if one.limit.per_second]
+        if named:
+            per_second = self._limit_shares.mean_per_second(named)
+            after_seconds = self._returns.after_seconds(service, per_second)
+            return Refuse('target_limits', after_seconds)
+        rests = [one.rest.until for one in pushbacks if one.rest.until > now]
+        if rests:
+            after_seconds = min(LONGEST_SECONDS, min(rests) - now)
+            return Refuse('targets_rest', after_seconds)
+        return Refuse('no_target', NO_TARGET_SECONDS)
+
+    def _is_asked_for(
+        self, target: Target, now: float, *, is_urgent: bool
+    ) -> bool:
+        """Tell whether a target takes a request by what it asked for."""
+        if not target.pushback.rest.allows(now):
+            return False
+        return self._limit_shares.allows(target, now, is_urgent=is_urgent)
+
+    def _is_warm_enough(self, target: Target, now: float) -> bool:
+        if target.cold_until <= now:
+            return True
+        service = self._targets.service(target.record.service)
+        if service.cold_requests_per_second <= 0:
+            return True
+        return self._pace.allows(target, service.cold_requests_per_second, now)
--- a/tools/ablations/decisions.py
+++ b/tools/ablations/decisions.py
@@ -9,7 +9,7 @@
         'gateway: a target that asked for a rest gets nothing',
         [
             (
-                'placement/choice.py',
+                'placement/usable.py',
                 '        if not target.pushback.rest.allows(now):',
                 '        if False:',
             ),
@@ -62,8 +62,8 @@
         'gateway: a target that named a limit gets no more',
         [
             (
-                'placement/choice.py',
-                '        return self.limit_shares.allows(target, now, is_urgent=is_urgent)',
+                'placement/usable.py',
+                '        return self._limit_shares.allows(target, now, is_urgent=is_urgent)',
                 '        return True',
             ),
         ],
@@ -122,7 +122,7 @@
         'gateway: crashed targets draw no requests',
         [
             (
-                'placement/choice.py',
+                'placement/usable.py',
                 '            and target.unreachable_until <= now',
                 '',
             ),
