--- a/tests/gateway/soak_pushback.py
+++ b/tests/gateway/soak_pushback.py
@@ -42,6 +42,11 @@
 PLACED = re.compile(
     r'event=request_placed host=(\S+) request=(\S+) .*? target=(\S+)'
 )
+# Answers that reached the host: served ones, refusals and errors.
+HEARD = re.compile(
+    r'event=(?:request_served|attempt_failed) host=(\S+) .*?request=(\S+) '
+    r'.*?(?:status=200|reason=target_refused|reason=status_)'
+)
 HEAD = b'HTTP/1.1 '
 
 
@@ -73,7 +78,7 @@
             if not self.began_at <= at <= self.ended_at:
                 continue
             sender = soak.sender(self.target, request_id)
-            if request_id in self.said:
+            if request_id in self.said and soak.has_heard(sender, request_id):
                 told_at.setdefault(sender, at)
             first_at = told_at.get(sender, at)
             if at > first_at + TOLD_SECONDS and not (
@@ -155,6 +160,8 @@
     def problems(self, soak):
         for told_at, request_id in self.refusals:
             host = soak.sender(self.target, request_id)
+            if not soak.has_heard(host, request_id):
+                continue
             until = told_at + self.seconds
             if soak.is_hurt(host, told_at - self.seconds, until):
                 continue
@@ -286,18 +293,25 @@
 
     def _check(self):
         super()._check()
-        self._senders = self._read_senders()
+        self._read_logs()
         for need in self.needs:
             self.problems.extend(need.problems(self))
 
-    def _read_senders(self):
-        senders = {}
+    def _read_logs(self):
+        self._senders = {}
+        self._heard = set()
         for host in self.deployment.hosts.values():
             for line in host.log().splitlines():
                 found = PLACED.search(line)
                 if found:
-                    senders[found[3], found[2]] = found[1]
-        return senders
+                    self._senders[found[3], found[2]] = found[1]
+                found = HEARD.search(line)
+                if found:
+                    self._heard.add((found[1], found[2]))
+
+    def has_heard(self, host, request_id):
+        """Tell whether an answer reached a host; links lose some."""
+        return (host, request_id) in self._heard
 
     def sender(self, target, request_id):
         """Return the host that sent a request to a target."""
