--- a/jacinthfold/serve/guard.py
+++ b/jacinthfold/serve/guard.py
@@ -24,8 +24,8 @@
 # longer than this: ends of one name so close together are one, seen by several.
 SAME_END_MS = 3000
 LOOK_CONNECT_SECONDS = 0.4
-# A process that ends closes its connections before it stops listening; under
-# load that took some tenths of a second. Shorter than loading a model takes.
+# A process that ends closes its connections before it stops listening. Shorter
+# than loading a model takes, after which it listens again.
 LOOK_AGAIN_SECONDS = 0.5
 LEAVING_STATES = frozenset((ReportState.LEAVING, ReportState.STOPPED))
 _MS = 1000
