Rank requests by organisation first and by route within it

Cause: an organisation's priority replaced that of its routes, so urgent questions and long prompts of organisations with the same priority had the same rank.

Change: the rank that targets get orders requests by their organisation's priority and, within it, by that of their route. Deployments without priorities of organisations send what they sent before.

Ruled out: less work of the engines as the cause (arrivals and accepted tokens a second were the same at the same seconds).

--- a/jacinthfold/platform/dialect.py
+++ b/jacinthfold/platform/dialect.py
@@ -129,7 +129,7 @@
         if request.organisation is not None:
             headers.append((TENANT, request.organisation.name.encode()))
         if request.route.is_stream:
-            rank = min(request.priority, PRIORITY_LIMIT)
+            rank = min(request.rank, PRIORITY_LIMIT)
             headers.append((REQUEST_PRIORITY, str(rank).encode()))
         return headers
 
--- a/jacinthfold/request/messages.py
+++ b/jacinthfold/request/messages.py
@@ -4,6 +4,9 @@
 from jacinthfold.organisations.model import Organisation
 
 Headers = list[tuple[bytes, bytes]]
+# Priorities of routes that are told apart within one priority of organisations;
+# targets know ten ranks.
+PRIORITIES_PER_ORGANISATION = 3
 
 # Headers that concern one connection only (RFC 9110, section 7.6.1).
 HOP_BY_HOP_HEADERS = frozenset(
@@ -155,8 +158,21 @@
 
     @property
     def is_urgent(self) -> bool:
-        """Check whether it has the highest priority."""
-        return self.priority == 0
+        """Check whether few requests go before it at a target."""
+        return self.rank < PRIORITIES_PER_ORGANISATION + 1 and not (
+            self.route.priority
+        )
+
+    @property
+    def rank(self) -> int:
+        """Return the rank among all requests at a target, 0 first."""
+        # By its organisation alone, a short question would wait at the engines
+        # behind every long prompt of organisations with the same priority.
+        organisation = self.organisation
+        if organisation is None or organisation.priority is None:
+            return self.route.priority
+        within = min(self.route.priority, PRIORITIES_PER_ORGANISATION - 1)
+        return organisation.priority * PRIORITIES_PER_ORGANISATION + within
 
     @property
     def has_residency(self) -> bool:
--- a/tests/gateway/test_organisations.py
+++ b/tests/gateway/test_organisations.py
@@ -236,6 +236,36 @@
     assert request.priority == 2
 
 
+def test_route_priority_ranks_requests_of_equal_organisations():
+    """Guards against short questions that wait behind long prompts.
+
+    Two organisations have the same priority, which overrides those of the
+    routes: engines then serve their questions and their long prompts in the
+    order of arrival, and the questions are late behind the prompts.
+    """
+    ranks = {}
+    for organisation_priority in range(3):
+        for route_priority in (0, 2):
+            request = request_of('', '')
+            request.organisation.priority = organisation_priority
+            request.route.priority = route_priority
+            ranks[organisation_priority, route_priority] = request.rank
+    assert sorted(ranks, key=ranks.__getitem__) == sorted(ranks)
+    assert len(set(ranks.values())) == len(ranks)
+
+
+def test_questions_of_most_organisations_are_urgent():
+    request = request_of('', '')
+    request.route.priority = 0
+    request.organisation.priority = 1
+    assert request.is_urgent
+    request.route.priority = 2
+    assert not request.is_urgent
+    request.organisation.priority = None
+    request.route.priority = 0
+    assert request.rank == 0
+
+
 def document(*tenants, version=5):
     content = {
         'version': version,
--- a/tools/ablations/organisations.py
+++ b/tools/ablations/organisations.py
@@ -53,6 +53,17 @@
         ],
         KEYS + 'test_home_regions_of_route_and_organisation_both_apply',
     ),
+    Ablation(
+        'ranks: route priorities order the requests of equal organisations',
+        [
+            (
+                'request/messages.py',
+                'organisation.priority * PRIORITIES_PER_ORGANISATION + within',
+                'organisation.priority',
+            )
+        ],
+        KEYS + 'test_route_priority_ranks_requests_of_equal_organisations',
+    ),
     Ablation(
         'revocation: no key is served past the limit',
         [
