Read the section [overload] and pass it to the placer

Change: the section with waiting_requests, target_places, region_shares and fair_shares, read into OverloadOptions and passed to Placer. Nothing uses the options yet. They take effect at the next start, as addresses do.

Ruled out: passing the settings' Section itself, whose values are untyped and which would make placement depend on the settings.

--- a/jacinthfold/gateway/cluster_view.py
+++ b/jacinthfold/gateway/cluster_view.py
@@ -72,7 +72,13 @@
         self._hosts_refreshed_at = float('-inf')
         self._pace = ColdTargetPacer(own.name, clock)
         self.placer = Placer(
-            own.region, self.targets, self._pace, self.regions, clock, source
+            own.region,
+            self.targets,
+            self._pace,
+            self.regions,
+            clock,
+            source,
+            settings.overload,
         )
         self.heartbeats = Heartbeats(
             self.hosts,
--- a/jacinthfold/gateway/settings.py
+++ b/jacinthfold/gateway/settings.py
@@ -7,6 +7,7 @@
 
 from jacinthfold.config import Section, SettingsError, read_section
 from jacinthfold.options import Option, decimal, integer, one_of, printable_text
+from jacinthfold.placement.overload_options import OverloadOptions
 
 PORT_LIMIT = 65535
 
@@ -28,6 +29,10 @@
     return integer(1, PORT_LIMIT)(value.split(',')[0])
 
 
+def _parse_switch(value: str) -> bool:
+    return one_of('on', 'off')(value) == 'on'
+
+
 def _required(
     read: Callable[[str], Any], allowed: str, help_text: str
 ) -> Option:
@@ -142,6 +147,32 @@
             '0',
         ),
     },
+    'overload': {
+        'waiting_requests': Option(
+            integer(0, 4096),
+            'a whole number from 0 to 4096',
+            'requests that may wait at a host; 0: none waits',
+            '0',
+        ),
+        'target_places': Option(
+            _parse_switch,
+            'on or off',
+            "on: a host keeps to its share of a plain target's places",
+            'off',
+        ),
+        'region_shares': Option(
+            _parse_switch,
+            'on or off',
+            'on: relayed load is split by the capacity other regions report',
+            'off',
+        ),
+        'fair_shares': Option(
+            _parse_switch,
+            'on or off',
+            'on: organisations share scarce capacity by weight',
+            'off',
+        ),
+    },
     'stop': {
         'grace_seconds': Option(
             decimal(1, 600),
@@ -161,6 +192,7 @@
         'host',
         'listen',
         'organisations',
+        'overload',
         'peers',
         'retries',
         'stop',
@@ -178,6 +210,13 @@
         self.retries = sections['retries']
         self.stop = sections['stop']
         self.organisations = sections['organisations']
+        overload = sections['overload']
+        self.overload = OverloadOptions(
+            waiting_requests=overload.waiting_requests,
+            target_places=overload.target_places,
+            region_shares=overload.region_shares,
+            fair_shares=overload.fair_shares,
+        )
         self.data_centres = data_centres
 
 
--- a/jacinthfold/placement/choice.py
+++ b/jacinthfold/placement/choice.py
@@ -10,6 +10,7 @@
 from jacinthfold.placement.estimates import Estimate, Estimator
 from jacinthfold.placement.jitter import LoadJitter
 from jacinthfold.placement.limit_shares import LimitShares
+from jacinthfold.placement.overload_options import OverloadOptions
 from jacinthfold.placement.pace import ColdTargetPacer
 from jacinthfold.placement.preferred_regions import PreferredRegions
 from jacinthfold.placement.regions import RegionView, RemoteRegion
@@ -39,8 +40,10 @@
         regions: RegionView,
         clock: Clock,
         source: random.Random,
+        overload: OverloadOptions | None = None,
     ) -> None:
         """Use the state of local targets and of other regions."""
+        self._overload = overload or OverloadOptions()
         self._region = region
         self._targets = targets
         self._pace = pace
--- a/tools/write_settings.py
+++ b/tools/write_settings.py
@@ -34,8 +34,9 @@
 
 `jacinthfold gateway --settings FILE`. `deploy/gateway.ini` is the template that
 the platform fills in. SIGHUP, or a change of the file, reads it again; `seeds`
-are taken over at once, addresses and ports at the next start. Beside these
-sections, `[data_centres]` gives the region of each data centre, a line each.
+are taken over at once, addresses, ports and `[overload]` at the next start.
+Beside these sections, `[data_centres]` gives the region of each data centre, a
+line each.
 
 Limits, weights and times of decisions are constants with their source beside
 them: `jacinthfold/placement/limits.py`, and at the head of each module.
