Level the waits of targets by stale load data; admit by the lag of answers

Cause: 21 hosts choose the target with the shortest wait by reports that are up to 0.3 s old, with equal jitter on all waits.

Change: water filling (a target is chosen with the probability of its part of the work that other hosts probably sent) and the measured lag of answers as part of admission and of the waits that are reported to other regions.

--- a/jacinthfold/gateway/node.py
+++ b/jacinthfold/gateway/node.py
@@ -85,16 +85,7 @@
         dialect = adapter.dialect
         forwarder = Forwarder(
             view.placer,
-            Attempts(
-                view.pool,
-                view.hosts,
-                view.regions,
-                view.budgets,
-                dialect,
-                self.metrics,
-                view.quarantine.crash_detector,
-                self._clock,
-            ),
+            self._build_attempts(adapter),
             view.budgets,
             view.quarantine,
             view.organisations.build_admission(view.quarantine, self.metrics),
@@ -145,6 +136,22 @@
             self._callers,
         ]
 
+    def _build_attempts(self, adapter: Adapter) -> Attempts:
+        view = self._view
+        attempts = Attempts(
+            view.pool,
+            view.hosts,
+            view.regions,
+            view.budgets,
+            adapter.dialect,
+            self.metrics,
+            view.quarantine.crash_detector,
+            self._clock,
+        )
+        attempts.on_first_event = view.placer.record_first_event
+        view.placer.on_answer_lag = self.metrics.set_answer_lag
+        return attempts
+
     def _listener(
         self, name: str, endpoint: tuple[str, int], handler: Handler
     ) -> Listener:
--- a/jacinthfold/gateway/settings.py
+++ b/jacinthfold/gateway/settings.py
@@ -172,6 +172,18 @@
             'on: organisations share scarce capacity by weight',
             'off',
         ),
+        'answer_lag': Option(
+            _parse_switch,
+            'on or off',
+            'on: the measured lag of answers counts when requests are admitted',
+            'off',
+        ),
+        'water_filling': Option(
+            _parse_switch,
+            'on or off',
+            'on: targets are chosen by the work that other hosts probably sent',
+            'off',
+        ),
     },
     'stop': {
         'grace_seconds': Option(
@@ -216,6 +228,8 @@
             target_places=overload.target_places,
             region_shares=overload.region_shares,
             fair_shares=overload.fair_shares,
+            answer_lag=overload.answer_lag,
+            water_filling=overload.water_filling,
         )
         self.data_centres = data_centres
 
--- a/jacinthfold/placement/choice.py
+++ b/jacinthfold/placement/choice.py
@@ -2,10 +2,12 @@
 
 import random
 from collections.abc import Collection
+from typing import Protocol
 
 from jacinthfold.clock import Clock
-from jacinthfold.placement import limits
+from jacinthfold.placement import limits, water_filling
 from jacinthfold.placement.affinity import Affinity, rank_instances
+from jacinthfold.placement.answer_lag import AnswerLag
 from jacinthfold.placement.decision import Choice, Reject, RelayTo, SendTo
 from jacinthfold.placement.estimates import Estimate, Estimator
 from jacinthfold.placement.jitter import LoadJitter
@@ -29,6 +31,15 @@
 PLAIN_LATE_FACTOR = 4
 
 
+class LagListener(Protocol):
+    """Receive by how much the answers of a service come late."""
+
+    def __call__(
+        self, service: str, seconds: float, *, is_urgent: bool
+    ) -> None:
+        """Handle the lag of a service's answers."""
+
+
 class Placer:
     """Choose the target or region for the requests of one region."""
 
@@ -54,6 +65,9 @@
         self._preferred_regions = PreferredRegions(targets)
         self._estimator = Estimator(targets)
         self._jitter = LoadJitter()
+        self._answer_lag = AnswerLag(clock)
+        # Receives each change of the lag of a service's answers.
+        self.on_answer_lag: LagListener = _ignore_lag
         self.limit_shares = LimitShares(pace.ranks.own_name, clock)
         self._usable = UsableTargets(
             region, targets, pace, self.limit_shares, RetrySchedule(clock)
@@ -73,7 +87,11 @@
         if preferred is not None:
             return RelayTo(preferred)
         remote = self._best_remote(request, tried_regions)
-        if best is not None and best.seconds <= allowed:
+        if best is not None and not is_retry:
+            best.lag_seconds = self.lag_seconds(
+                request.service_name, is_urgent=request.is_urgent
+            )
+        if best is not None and best.lagged_seconds <= allowed:
             if self._should_relay(request, best, remote) and remote is not None:
                 return RelayTo(remote)
             return SendTo(best)
@@ -94,6 +112,23 @@
             uses = self._targets.recent_uses
             uses.record_use(target.record.incarnation_id, shared[-1].name, now)
 
+    def record_first_event(
+        self, request: Request, estimate: Estimate, seconds: float
+    ) -> None:
+        """Record the time to the first event of an answer."""
+        self._answer_lag.record(
+            request.service_name,
+            estimate.seconds,
+            seconds,
+            is_urgent=request.is_urgent,
+        )
+        lag_seconds = self.lag_seconds(
+            request.service_name, is_urgent=request.is_urgent
+        )
+        self.on_answer_lag(
+            request.service_name, lag_seconds, is_urgent=request.is_urgent
+        )
+
     def least_wait_seconds(
         self, service: str, *, is_urgent: bool
     ) -> float | None:
@@ -105,7 +140,15 @@
                 service, (), now, is_urgent=is_urgent
             )
         ]
-        return min(waits, default=None)
+        if not waits:
+            return None
+        return min(waits) + self.lag_seconds(service, is_urgent=is_urgent)
+
+    def lag_seconds(self, service: str, *, is_urgent: bool) -> float:
+        """Return by how much answers come late, 0 if it isn't measured."""
+        if not self._overload.answer_lag:
+            return 0.0
+        return self._answer_lag.seconds(service, is_urgent=is_urgent)
 
     def _best_local(
         self, request: Request, tried: Collection[str]
@@ -134,6 +177,11 @@
                 return estimate
             estimates.append(estimate)
         jitter = self._jitter_seconds(request, estimates, now)
+        if self._overload.water_filling:
+            costs = [self._cost(one, 0.0) for one in estimates]
+            work_seconds = jitter * len(estimates)
+            chosen = water_filling.choose(costs, work_seconds, self._random)
+            return estimates[chosen]
         return min(estimates, key=lambda one: self._cost(one, jitter))
 
     def _should_relay(
@@ -265,7 +313,9 @@
         best: Estimate | None,
         remote: RemoteRegion | None,
     ) -> Choice:
-        waits = [one.seconds for one in (best, remote) if one]
+        waits = [best.lagged_seconds] if best else []
+        if remote is not None:
+            waits.append(remote.seconds)
         if not waits:
             return self._reject_without_target(request)
         least = min(waits)
@@ -306,7 +356,7 @@
         if best is None and remote is not None:
             return RelayTo(remote)
         if best is not None and remote is not None:
-            is_local = best.seconds <= remote.seconds
+            is_local = best.lagged_seconds <= remote.seconds
             return SendTo(best) if is_local else RelayTo(remote)
         if best is not None:
             return SendTo(best)
@@ -315,3 +365,7 @@
     def _retry_after_seconds(self, wait_seconds: float) -> float:
         spread_seconds = self._random.uniform(0, RETRY_SPREAD_SECONDS)
         return max(MIN_RETRY_AFTER_SECONDS, wait_seconds) + spread_seconds
+
+
+def _ignore_lag(service: str, seconds: float, *, is_urgent: bool) -> None:
+    """Do nothing with the lag of answers."""
--- a/jacinthfold/placement/estimates.py
+++ b/jacinthfold/placement/estimates.py
@@ -14,6 +14,7 @@
     """Hold the expected time to a target's first event, and its parts."""
 
     __slots__ = (
+        'lag_seconds',
         'tokens_ahead',
         'cached_tokens',
         'is_counted',
@@ -36,6 +37,8 @@
         self.running_seconds = wait.running_seconds
         self.wait_seconds = wait.seconds
         self.seconds = wait.seconds + own_seconds
+        # By how much answers lately came later than expected.
+        self.lag_seconds = 0.0
         self.cached_tokens = 0
         self.tokens_to_prefill = 0
         # The request's own prefill: its cost in tokens of a short prompt, and
@@ -47,6 +50,11 @@
         # Another target from which this one copies the shared prefix.
         self.copy_source: Target | None = None
 
+    @property
+    def lagged_seconds(self) -> float:
+        """Return the expected time with the measured lag of answers."""
+        return self.seconds + self.lag_seconds
+
     @property
     def copy_source_name(self) -> str:
         """Return the instance that is copied from, empty without one."""
--- a/jacinthfold/proxy/attempts.py
+++ b/jacinthfold/proxy/attempts.py
@@ -75,6 +75,10 @@
         self._crash_detector = crash_detector
         self._clock = clock
         self._random = random.Random()
+        # Receives the seconds to each first event of an answer.
+        self.on_first_event: Callable[[Request, Estimate, float], None] = (
+            _ignore_first_event
+        )
 
     async def send_to_target(
         self,
@@ -127,6 +131,9 @@
                 delivery.first_event_at,
                 is_broken=delivery.is_broken,
             )
+        if outcome.ending is Ending.DELIVERED and delivery.first_event_at:
+            seconds = delivery.first_event_at - began_at
+            self.on_first_event(request, estimate, seconds)
         self._update_target(target, outcome, delivery, began_at, estimate)
         self._count(request, outcome)
         return outcome
@@ -329,3 +336,9 @@
         model.record_slot_hold(
             streamed_seconds + model.prefill_seconds(estimate.token_cost)
         )
+
+
+def _ignore_first_event(
+    _request: Request, _estimate: Estimate, _seconds: float
+) -> None:
+    """Do nothing with the time to a first event."""
--- a/jacinthfold/proxy/metrics.py
+++ b/jacinthfold/proxy/metrics.py
@@ -73,6 +73,12 @@
             'Parts of the organisations whose shares this host lends',
             registry=self.registry,
         )
+        self.answer_lag = Gauge(
+            'jacinthfold_gateway_answer_lag_seconds',
+            'By how much first events come later than expected',
+            ['service', 'urgent'],
+            registry=self.registry,
+        )
         self.in_flight = Gauge(
             'jacinthfold_gateway_requests_in_flight',
             'Requests being served',
@@ -89,6 +95,12 @@
             registry=self.registry,
         )
 
+    def set_answer_lag(
+        self, service: str, seconds: float, *, is_urgent: bool
+    ) -> None:
+        """Set by how much first events of a service come late."""
+        self.answer_lag.labels(service, is_urgent).set(seconds)
+
     def exposition(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/jacinthfold/proxy/request_log.py
+++ b/jacinthfold/proxy/request_log.py
@@ -23,6 +23,7 @@
             prompt_tokens=request.facts.prompt_tokens,
             cached_tokens=estimate.cached_tokens,
             copied_from=estimate.copy_source_name,
+            lag_seconds=estimate.lag_seconds,
             failing_share=estimate.target.failing_share,
         )
     if isinstance(choice, RelayTo):
@@ -47,6 +48,7 @@
         prompt_tokens=request.facts.prompt_tokens,
         wait_seconds=here.wait_seconds if here else None,
         expected_seconds=here.seconds if here else None,
+        lag_seconds=here.lag_seconds if here else None,
         region=elsewhere.name if elsewhere else '',
         region_seconds=elsewhere.seconds if elsewhere else None,
     )
--- a/tools/ablations/decisions.py
+++ b/tools/ablations/decisions.py
@@ -5,6 +5,30 @@
 GATEWAY = 'tests/gateway/'
 
 DECISIONS = [
+    Ablation(
+        'gateway: hosts level the waits of targets by stale load data',
+        [
+            (
+                'placement/water_filling.py',
+                'return source.choices(range(len(parts)), parts)[0]',
+                'return min(range(len(parts)), key=waits_seconds.__getitem__)',
+            )
+        ],
+        GATEWAY
+        + 'test_stale_load.py::test_hosts_level_the_waits_of_their_engines',
+    ),
+    Ablation(
+        'gateway: the measured lag of answers counts at admission',
+        [
+            (
+                'placement/choice.py',
+                'return self._answer_lag.seconds(service, is_urgent=is_urgent)',
+                'return 0.0',
+            )
+        ],
+        GATEWAY
+        + 'test_stale_load.py::test_measured_lag_rejects_what_reports_admit',
+    ),
     Ablation(
         'gateway: a target in backoff gets no requests',
         [
