placement: reject by a bound of the estimates that is computed once

Change: placement/least_waits.py keeps the waits of a service's usable targets for 50 ms, shortest first. A request whose bound (wait plus own time with what the target caches or could copy) misses both the latency budget and the rule for late requests is rejected after one estimate of the target with the least bound. The waits are dropped when load of this host ends at a target of the service, or when a target, a report, a service or an evacuation changes. Bounds are computed for a second after a late request only, so that requests without overload pay nothing. Retries, relays to the region that caches a prefix and other regions with capacity are decided as before. The estimate in request_refused is now that with the least bound, not the one with the least cost; Retry-After follows from it.

Ruled out: reusing a verdict by size class, since the cached prefix decides who is late; computing the bound for each request, since each answer makes waits fall and all would be computed again.

--- a/jacinthfold/placement/choice.py
+++ b/jacinthfold/placement/choice.py
@@ -9,6 +9,7 @@
 from jacinthfold.placement.decision import Choice, Reject, RelayTo, SendTo
 from jacinthfold.placement.estimates import Estimate, Estimator
 from jacinthfold.placement.jitter import LoadJitter
+from jacinthfold.placement.least_waits import LeastWaits
 from jacinthfold.placement.limit_shares import LimitShares
 from jacinthfold.placement.pace import ColdTargetPacer
 from jacinthfold.placement.preferred_regions import PreferredRegions
@@ -55,6 +56,9 @@
         self._usable = UsableTargets(
             region, targets, pace, self.limit_shares, RetrySchedule(clock)
         )
+        self._least_waits = LeastWaits(
+            region, targets, self._usable, self._estimator
+        )
 
     def choose(
         self,
@@ -63,8 +67,11 @@
         tried_regions: Collection[str] = (),
     ) -> Choice:
         """Return the target or region for a request, or a rejection."""
-        best = self._best_local(request, tried)
         is_retry = bool(tried or tried_regions)
+        rejection = None if is_retry else self._reject_early(request)
+        if rejection is not None:
+            return rejection
+        best = self._best_local(request, tried)
         allowed = self._latency_budget_seconds(request, is_retry=is_retry)
         preferred = None if is_retry else self._preferred_remote(request, best)
         if preferred is not None:
@@ -104,6 +111,34 @@
         ]
         return min(waits, default=None)
 
+    def _reject_early(self, request: Request) -> Reject | None:
+        """Return the rejection of a request that is late at any target."""
+        if not request.allows(self._region):
+            return None
+        best = self._least_waits.late_estimate(
+            request, self._clock.monotonic(), self._may_serve
+        )
+        if best is None:
+            return None
+        remote = self._best_remote(request, ())
+        if remote is not None and self._may_serve(request, remote.seconds):
+            return None
+        if self._preferred_remote(request, None) is not None:
+            return None
+        # Rejected prompts count among the recent ones of their route too.
+        self._affinity.shared_segments(
+            request.route.name,
+            request.facts.prefix_segments,
+            self._least_waits.target_count(request),
+        )
+        return self._reject_late(request, best, remote)
+
+    def _may_serve(self, request: Request, seconds: float) -> bool:
+        """Tell whether a request may be served with an expected time."""
+        return seconds <= self._latency_budget_seconds(
+            request, is_retry=False
+        ) or self._is_accepted_late(request, seconds)
+
     def _best_local(
         self, request: Request, tried: Collection[str]
     ) -> Estimate | None:
@@ -268,6 +303,16 @@
         least = min(waits)
         if self._is_accepted_late(request, least):
             return self._soonest(request, best, remote)
+        return self._reject_late(request, best, remote)
+
+    def _reject_late(
+        self,
+        request: Request,
+        best: Estimate | None,
+        remote: RemoteRegion | None,
+    ) -> Reject:
+        least = min(one.seconds for one in (best, remote) if one)
+        self._least_waits.record_late(request, self._clock.monotonic())
         half_objective = request.route.latency_objective_seconds / 2
         after_seconds = self._retry_after_seconds(least - half_objective)
         return Reject('late', after_seconds, best, remote)
--- a/jacinthfold/placement/estimates.py
+++ b/jacinthfold/placement/estimates.py
@@ -152,6 +152,26 @@
                 best = copied
         return best
 
+    def least_prefill_seconds(self, service: str) -> float:
+        """Return the time to the first event of a prompt that is cached."""
+        return self.latency_model(service).first_event_seconds(0.0)
+
+    def prefill_seconds(self, request: Request, prefix_tokens: int) -> float:
+        """Return the own time of a prompt with a cached prefix."""
+        model = self.latency_model(request.service_name)
+        tokens_to_prefill = max(0, request.facts.prompt_tokens - prefix_tokens)
+        return model.first_event_seconds(
+            model.token_cost(tokens_to_prefill, prefix_tokens)
+        )
+
+    def cached_prefill_seconds(self, request: Request, target: Target) -> float:
+        """Return the own time of a prompt at a target, without a wait."""
+        service = self._targets.service(request.service_name)
+        cached = target.cached_prefixes.cached_tokens(
+            request.facts.prefixes, service.kv_cache_tokens
+        )
+        return self.prefill_seconds(request, cached)
+
     def wait_seconds(
         self, target: Target, now: float, *, is_urgent: bool
     ) -> float:
--- a/jacinthfold/placement/target.py
+++ b/jacinthfold/placement/target.py
@@ -59,6 +59,7 @@
         'ejected_until',
         'failing_share',
         'failures',
+        'freed_count',
         'last_received_at',
         'is_removed',
         'cached_prefixes',
@@ -78,6 +79,8 @@
         """Start from a record and the pushback that is known already."""
         self.record = record
         self.own = Load()
+        # How often load of this host ended; waits computed before are too long.
+        self.freed_count = 0
         self.own_prefilled_tokens = 0.0
         self.reported: dict[str, tuple[float, Load]] = {}
         self.cold_until = 0.0
--- a/jacinthfold/placement/targets.py
+++ b/jacinthfold/placement/targets.py
@@ -35,11 +35,14 @@
         self._retained = RetainedPushback()
         self._services: Mapping[str, Service] = {}
         self.evacuated: frozenset[str] = frozenset()
+        # Counts changes of targets and reports, but not this host's own load.
+        self.change_count = 0
         self.latency_models = LatencyModels()
         self.recent_uses = RecentPrefixUses()
 
     def update_services(self, services: Mapping[str, Service]) -> None:
         """Replace the configuration of services."""
+        self.change_count += 1
         self._services = services
 
     def service(self, name: str) -> Service:
@@ -77,6 +80,7 @@
 
     def put(self, record: TargetRecord) -> None:
         """Add a target or update its record."""
+        self.change_count += 1
         now = self._clock.monotonic()
         target = self._targets.get(record.instance)
         if target is None or _is_other_incarnation(target, record):
@@ -96,6 +100,7 @@
 
     def remove(self, instance: str) -> None:
         """Mark a target whose record is gone as leaving."""
+        self.change_count += 1
         target = self._targets.get(instance)
         if target is None:
             return
@@ -105,6 +110,7 @@
 
     def evacuate(self, data_centre: str, *, is_evacuated: bool) -> None:
         """Start or end the evacuation of a data centre's targets."""
+        self.change_count += 1
         if is_evacuated:
             self.evacuated |= {data_centre}
             return
@@ -187,6 +193,7 @@
         self, reporter: str, loads: Mapping[str, Load], now: float
     ) -> None:
         """Replace another host's loads on targets, by incarnation."""
+        self.change_count += 1
         previous = self._reported.get(reporter, frozenset())
         for incarnation_id in previous.difference(loads):
             self._drop_report(incarnation_id, reporter)
@@ -198,6 +205,7 @@
 
     def drop_reports(self, reporters: Iterable[str]) -> None:
         """Drop the reports of hosts that are now part of a collector's sums."""
+        self.change_count += 1
         for reporter in reporters:
             for incarnation_id in self._reported.pop(reporter, frozenset()):
                 self._drop_report(incarnation_id, reporter)
--- a/jacinthfold/proxy/in_flight_load.py
+++ b/jacinthfold/proxy/in_flight_load.py
@@ -24,6 +24,7 @@
         """Remove the pending prefill tokens: the prompt has been prefilled."""
         self._target.own.pending_prefill_tokens -= self._prefill_tokens
         self._target.own.urgent_tokens -= self._urgent_tokens
+        self._target.freed_count += 1
         self._prefill_tokens = 0
         self._urgent_tokens = 0
 
--- a/tools/ablations/decisions.py
+++ b/tools/ablations/decisions.py
@@ -264,4 +264,27 @@
         ],
         GATEWAY + 'test_directory.py',
     ),
+    Ablation(
+        'gateway: rejections together estimate the targets once',
+        [
+            (
+                'placement/least_waits.py',
+                '            and now - found.taken_at <= MAX_AGE_SECONDS\n',
+                '            and False\n',
+            ),
+        ],
+        GATEWAY
+        + 'test_rejections.py::test_rejections_together_estimate_the_targets_once',
+    ),
+    Ablation(
+        'gateway: a place that came free counts at once',
+        [
+            (
+                'placement/least_waits.py',
+                '            and found.version == version\n',
+                '',
+            ),
+        ],
+        GATEWAY + 'test_rejections.py',
+    ),
 ]
