placement: look at no prefix where the shortest wait is too long already

Change: the shortest wait plus the least own time is compared with the budget before prefixes and copies; targets whose wait alone is too long are skipped. UsableTargets calls its checks of cold targets and of limits only for targets that have them.

--- a/jacinthfold/placement/least_waits.py
+++ b/jacinthfold/placement/least_waits.py
@@ -83,7 +83,7 @@
         snapshot = self._snapshot(request, now)
         if not snapshot.waits:
             return None
-        least, target = self._least_seconds(request, snapshot)
+        least, target = self._least_seconds(request, snapshot, may_serve)
         if may_serve(request, least):
             return None
         # The wait may have fallen within the age of the snapshot.
@@ -123,7 +123,10 @@
         return taken
 
     def _least_seconds(
-        self, request: Request, snapshot: WaitSnapshot
+        self,
+        request: Request,
+        snapshot: WaitSnapshot,
+        may_serve: Callable[[Request, float], bool],
     ) -> tuple[float, Target]:
         """Return a bound that no estimate is below, and its target."""
         if not self._targets.service(request.service_name).is_engine:
@@ -134,11 +137,15 @@
                 ),
                 key=_wait_seconds,
             )
-        copied_seconds = self._copied_seconds(request, snapshot)
         least = self._estimator.least_prefill_seconds(request.service_name)
-        best, best_target = float('inf'), snapshot.waits[0][1]
+        first_wait, best_target = snapshot.waits[0]
+        if not may_serve(request, first_wait + least):
+            # Late even where the whole prompt is cached.
+            return first_wait + least, best_target
+        copied_seconds = self._copied_seconds(request, snapshot)
+        best = float('inf')
         for wait, target in snapshot.waits:
-            if wait + least >= best:
+            if wait + least >= best or not may_serve(request, wait + least):
                 break
             own = self._estimator.cached_prefill_seconds(request, target)
             seconds = wait + min(own, copied_seconds)
--- a/jacinthfold/placement/usable.py
+++ b/jacinthfold/placement/usable.py
@@ -55,15 +55,16 @@
 
         Healthy targets come first, then ejected ones, then leaving ones.
         """
+        evacuated = self._targets.evacuated
         candidates = [
             target
             for target in self._targets.of(service, self._region)
-            if target.record.data_centre not in self._targets.evacuated
+            if target.record.data_centre not in evacuated
             and target.record.instance not in tried
             # Nothing listens there, so that the target looks idle and would
             # attract requests that another region could serve.
             and target.unreachable_until <= now
-            and self._allows_cold(target, now)
+            and (target.cold_until <= now or self._allows_cold(target, now))
             and self._is_admitted(target, now, is_urgent=is_urgent)
         ]
         staying = [one for one in candidates if one.last_resort_until is None]
@@ -111,11 +112,11 @@
         """Tell whether a target's backoff and limit admit a request."""
         if not target.pushback.backoff.allows(now):
             return False
+        if target.pushback.limit.per_second is None:
+            return True
         return self._limit_shares.allows(target, now, is_urgent=is_urgent)
 
     def _allows_cold(self, target: Target, now: float) -> bool:
-        if target.cold_until <= now:
-            return True
         service = self._targets.service(target.record.service)
         if service.cold_requests_per_second <= 0:
             return True
