placement: keep the rankings of shared prefixes

Cause: each choice with a shared prefix hashes the names of all usable targets, for some tens of prefixes and targets that seldom change.

Change: the last 512 rankings by prefix name and targets are kept; same order.

--- a/jacinthfold/placement/affinity.py
+++ b/jacinthfold/placement/affinity.py
@@ -7,11 +7,14 @@
 
 from collections import Counter, deque
 from collections.abc import Iterable
+from functools import lru_cache
 
 from jacinthfold.hashing import rank
 from jacinthfold.placement import limits
 from jacinthfold.request.messages import PrefixSegment
 
+RANKINGS_KEPT = 512
+
 
 class _RecentSegments:
     """Count the leading segments of a route's latest prompts."""
@@ -73,4 +76,11 @@
 ) -> list[str]:
     """Return instances, the preferred one for the shared prefix first."""
     last = tuple(shared)[-1]
-    return rank(last.name, instances)
+    return list(_ranked(last.name, tuple(instances)))
+
+
+# A few tens of shared prefixes are requested again and again while the targets
+# stay the same, and a ranking hashes every instance.
+@lru_cache(maxsize=RANKINGS_KEPT)
+def _ranked(name: str, instances: tuple[str, ...]) -> tuple[str, ...]:
+    return tuple(rank(name, instances))
