proxy: sum up lines with the estimates of rejections above a rate

Cause: each rejection logs request_refused and request_not_served, which share the request, the reason and the time to come back.

Change: beyond 20 rejections for a reason within a second request_refused is left out and counted; requests_refused tells the counts with the next rejection after that second. request_not_served stays for each request, so explain still tells its story.

Ruled out: a timer for the summary, which needs a task; leaving out request_not_served, after which nothing tells of the request. tools/losses.py counts request_refused and so undercounts above the rate.

--- a/jacinthfold/placement/least_waits.py
+++ b/jacinthfold/placement/least_waits.py
@@ -169,10 +169,8 @@
 
     def _version(self, service: str) -> tuple[int, int]:
         """Return a value that changes when a wait may have fallen."""
-        freed = sum(
-            target.freed_count
-            for target in self._targets.of(service, self._region)
-        )
+        targets = self._targets.of(service, self._region)
+        freed = sum([target.freed_count for target in targets])
         return (self._targets.change_count, freed)
 
 
--- a/jacinthfold/proxy/forwarding.py
+++ b/jacinthfold/proxy/forwarding.py
@@ -16,6 +16,7 @@
 from jacinthfold.proxy.metrics import ProxyMetrics
 from jacinthfold.proxy.outcome import Ending, Outcome
 from jacinthfold.proxy.progress import Progress
+from jacinthfold.proxy.rejection_lines import RejectionLines
 from jacinthfold.proxy.relay_header import (
     OUTCOME_NOT_RUN,
     OUTCOME_UNKNOWN,
@@ -59,6 +60,7 @@
         self._dialect = dialect
         self._metrics = metrics
         self._clock = clock
+        self._rejection_lines = RejectionLines(clock)
 
     async def serve(self, request: Request, response: CallerResponse) -> None:
         """Serve a request; a response that broke midway stays unfinished."""
@@ -98,7 +100,7 @@
             request, progress.tried, progress.tried_regions
         )
         if isinstance(choice, Reject):
-            request_log.log_placement_rejection(request, choice)
+            self._rejection_lines.log(request, choice)
             progress.record_placement_rejection(choice)
             return False
         if not self._may_send(request, progress):
--- a/tests/gateway/test_rejections.py
+++ b/tests/gateway/test_rejections.py
@@ -3,12 +3,18 @@
 import random
 
 import pytest
+from loguru import logger
 
 from jacinthfold.placement.decision import Reject, RelayTo, SendTo
 from jacinthfold.placement.estimates import Estimator
 from jacinthfold.placement.least_waits import MAX_AGE_SECONDS, LeastWaits
 from jacinthfold.placement.target import Load
 from jacinthfold.proxy.in_flight_load import InFlightLoad
+from jacinthfold.proxy.rejection_lines import (
+    MAX_LINES,
+    WINDOW_SECONDS,
+    RejectionLines,
+)
 from tests.gateway.test_placement import Scene
 
 ENGINES = 36
@@ -170,3 +176,29 @@
             )
     assert outcomes[:60] == outcomes[60:]
     assert {'late', 'sent'} == set(outcomes)
+
+
+def test_rejections_above_a_rate_are_summed_up():
+    """Guards against two log lines for each of 200 rejections per second.
+
+    Each rejection beyond the first ones of a second is counted, and the count
+    is logged with the first rejection after that second.
+    """
+    scene = full_scene(engines=3)
+    lines = RejectionLines(scene.clock)
+    logged = []
+    sink = logger.add(lambda line: logged.append(line.record), level='INFO')
+    try:
+        for _ in range(200):
+            sent = request(scene)
+            lines.log(sent, scene.choose(sent))
+        scene.clock.advance(WINDOW_SECONDS)
+        sent = request(scene)
+        lines.log(sent, scene.choose(sent))
+    finally:
+        logger.remove(sink)
+    names = [record['message'] for record in logged]
+    assert names.count('request_refused') == MAX_LINES + 1
+    summary = logged[names.index('requests_refused')]['extra']
+    assert summary['count'] == 200
+    assert summary['left_out'] == 200 - MAX_LINES
