Apply no record that was removed before, and pass on every removal

Cause: a removal reached a host only once.

Change: apply() ignores an unknown record at or below the known revision; full lists are exempt, since they were read at their revision or later. Removals of unknown records are remembered.

--- a/jacinthfold/catalogue/records.py
+++ b/jacinthfold/catalogue/records.py
@@ -126,9 +126,11 @@
 
     def apply(self, records: Iterable[Record], revision: int) -> None:
         """Apply changes up to a revision of the store."""
-        for record in sorted(records, key=_by_revision):
-            self._apply_one(record)
-        self._advance(revision)
+        # All records at this host's revision are known, so an older one that is
+        # missing was removed. A watch that hangs returns such a record after a
+        # snapshot with its removal, which the store doesn't send again.
+        newer = [record for record in records if self._is_newer(record)]
+        self._apply_all(newer, revision)
 
     def replace(self, records: Iterable[Record], revision: int) -> None:
         """Replace all records by a list read at a revision or later."""
@@ -143,7 +145,15 @@
         for key, known in list(self._records.items()):
             if key not in listed_keys and known.revision <= revision:
                 self._apply_one(Record(key, revision, None))
-        self.apply(listed, revision)
+        self._apply_all(listed, revision)
+
+    def _is_newer(self, record: Record) -> bool:
+        return record.revision > self.revision or record.key in self._records
+
+    def _apply_all(self, records: Iterable[Record], revision: int) -> None:
+        for record in sorted(records, key=_by_revision):
+            self._apply_one(record)
+        self._advance(revision)
 
     def _remember_removal(self, record: Record) -> None:
         self._removals.append(record)
@@ -161,10 +171,12 @@
         if known is not None and known.revision >= record.revision:
             return
         if record.content is None:
+            # Remembered even if the record was never known here: a host that
+            # knows it may fetch its removal from this one.
+            self._remember_removal(record)
             if known is None:
                 return
             self._records.pop(record.key)
-            self._remember_removal(record)
         else:
             self._records[record.key] = record
         try:
