Bound the last resort of a leaving target by the age of the records

Cause: the last resort (2 s, and 0.5 s to send) counted from when a host heard that a target leaves. A host whose records are more than 2.5 s old sends later than 5 s after the store accepted the record. The same clock started anew when the target was first seen as draining, with the first answer that said so, and when a late heartbeat wrote a drained target as ready again.

Change: Freshness.age_before() gives the age of a change from the last proof before it; the last resort ends at 4.1 s and the last send at 4.6 s from that proof, checked again at the send. Without a proof there is no last resort. For a record that went without saying that it drains, an answer that did not announce leaving counts as a proof, too: records lapse with the store. An incarnation that drained once stays leaving, as after an answer (docs/DESIGN.md). Targets without a start time can not be told from their next incarnation and are revived by a record as before. Staying targets are not bounded. target_leaving names revision, source and age; send_rejected_leaving is new.

Ages must be known at hosts without organisations, so freshness checks and the exchange of proofs always run.

Ruled out by reading: a neighbour that is out of touch does not make a host look in touch; reported ages add to the time since the acknowledged message.

After: 26 pass; test_knowledge, test_life, test_freshness, test_watchers pass (63 cases); test_placement, test_rebirth, test_leaving_in_answers, test_other_writers, test_translation, test_target_rest, test_limit_changes pass (157).

--- a/jacinthfold/catalogue/freshness.py
+++ b/jacinthfold/catalogue/freshness.py
@@ -49,6 +49,21 @@
         """Return whether the store is known to be ahead of this host."""
         return bool(self._pending)
 
+    def age_before(self, revision: int) -> float:
+        """Return the maximum age of the change that made a revision.
+
+        Infinite if no proof shows that the store was at an earlier one.
+        """
+        as_of = max(
+            (
+                proof.as_of
+                for proof in (self.proof, *self._pending)
+                if proof.revision < revision
+            ),
+            default=float('-inf'),
+        )
+        return self._clock.boottime() - as_of
+
     def record_revision(self, as_of: float, revision: int) -> None:
         """Record the store's revision at the time a request was sent."""
         if as_of <= self.proof.as_of:
--- a/jacinthfold/catalogue/records.py
+++ b/jacinthfold/catalogue/records.py
@@ -8,6 +8,7 @@
 from jacinthfold import logs
 from jacinthfold.catalogue.freshness import Freshness
 from jacinthfold.catalogue.model import HostRecord, RouteTable, TargetRecord
+from jacinthfold.catalogue.origin import STORE_SOURCE, ChangeOrigin
 from jacinthfold.clock import Clock
 
 # Removals remembered to answer hosts that request changes.
@@ -106,6 +107,8 @@
         self.revision = 0
         self.changed_at = clock.monotonic()
         self.freshness = Freshness(clock)
+        # Where the change came from that listeners are notified of.
+        self.origin = ChangeOrigin()
         self.routes: RouteTable | None = None
         self.evacuated: frozenset[str] = frozenset()
 
@@ -124,15 +127,25 @@
         known = [*self._records.values(), *self._removals]
         return [record for record in known if record.revision > revision]
 
-    def apply(self, records: Iterable[Record], revision: int) -> None:
+    def apply(
+        self,
+        records: Iterable[Record],
+        revision: int,
+        source: str = STORE_SOURCE,
+    ) -> None:
         """Apply changes up to a revision of the store."""
         # All records at this host's revision are known, so an older one that is
         # missing was removed. A watch that hangs returns such a record after a
         # snapshot with its removal, which the store doesn't send again.
         newer = [record for record in records if self._is_newer(record)]
-        self._apply_all(newer, revision)
+        self._apply_all(newer, revision, source)
 
-    def replace(self, records: Iterable[Record], revision: int) -> None:
+    def replace(
+        self,
+        records: Iterable[Record],
+        revision: int,
+        source: str = STORE_SOURCE,
+    ) -> None:
         """Replace all records by a list read at a revision or later."""
         # A list older than the current records would restore removed ones,
         # and requests would be sent to targets that are gone.
@@ -144,14 +157,21 @@
         listed_keys = {record.key for record in listed}
         for key, known in list(self._records.items()):
             if key not in listed_keys and known.revision <= revision:
-                self._apply_one(Record(key, revision, None))
-        self._apply_all(listed, revision)
+                listed.append(Record(key, revision, None))
+        self._apply_all(listed, revision, source)
 
     def _is_newer(self, record: Record) -> bool:
         return record.revision > self.revision or record.key in self._records
 
-    def _apply_all(self, records: Iterable[Record], revision: int) -> None:
+    def _apply_all(
+        self, records: Iterable[Record], revision: int, source: str
+    ) -> None:
         for record in sorted(records, key=_by_revision):
+            self.origin = ChangeOrigin(
+                record.revision,
+                source,
+                self.freshness.age_before(record.revision),
+            )
             self._apply_one(record)
         self._advance(revision)
 
--- a/jacinthfold/fleet/snapshots.py
+++ b/jacinthfold/fleet/snapshots.py
@@ -107,9 +107,9 @@
             whole=snapshot.is_whole,
         )
         if snapshot.is_whole:
-            self._catalogue.replace(snapshot.records, snapshot.revision)
+            self._catalogue.replace(snapshot.records, snapshot.revision, peer)
         else:
-            self._catalogue.apply(snapshot.records, snapshot.revision)
+            self._catalogue.apply(snapshot.records, snapshot.revision, peer)
         return True
 
 
--- a/jacinthfold/gateway/cluster_view.py
+++ b/jacinthfold/gateway/cluster_view.py
@@ -61,6 +61,10 @@
         self.targets = TargetTable(settings.data_centres, clock)
         self.catalogue = Catalogue(adapter.reader, decode_host, clock)
         self.catalogue.subscribe(self)
+        self.targets.origin = lambda: self.catalogue.origin
+        self.targets.knowledge_age = lambda: (
+            self.catalogue.freshness.age_seconds
+        )
         self.follower = Follower(adapter.store, self.catalogue, clock)
         self.registration = Registration(adapter.store, own)
         self.organisations = OrganisationAccess(
--- a/jacinthfold/gateway/organisations.py
+++ b/jacinthfold/gateway/organisations.py
@@ -52,12 +52,11 @@
     def apply_routes(self, table: RouteTable) -> None:
         """Apply the organisations of a newer configuration."""
         self.quota.pools.update_routes(table)
-        # Freshness checks cost store reads and message bytes, so they run only
-        # if the time to revoke a key is bounded.
-        is_needed = bool(len(table.organisations)) and self.key_gate.is_bounded
-        self.freshness_checker.is_needed = is_needed
+        # The use of leaving targets is bounded by the age of the records, also
+        # where no organisation has keys.
+        self.freshness_checker.is_needed = True
         if self._heartbeats is not None:
-            self._heartbeats.freshness_exchange.is_enabled = is_needed
+            self._heartbeats.freshness_exchange.is_enabled = True
 
     def build_admission(
         self, quarantine: Quarantine, metrics: ProxyMetrics
--- a/jacinthfold/placement/pushback.py
+++ b/jacinthfold/placement/pushback.py
@@ -18,6 +18,9 @@
     __slots__ = (
         '_instance',
         '_logged_headers',
+        'answer_until',
+        'confirmed_at',
+        'drained_until',
         'leaving_since',
         'limit',
         'backoff',
@@ -30,6 +33,13 @@
         self._logged_headers: set[str] = set()
         # When an answer first announced that the target leaves.
         self.leaving_since: float | None = None
+        # End of the last resort after that answer.
+        self.answer_until: float | None = None
+        # End of the last resort if its record said once that it drains. Its
+        # record may be removed, and a late heartbeat of it may say ready.
+        self.drained_until: float | None = None
+        # When the newest request was sent whose answer didn't announce leaving.
+        self.confirmed_at = float('-inf')
         self.limit = RequestLimit(instance)
         self.backoff = Backoff(instance)
 
@@ -45,6 +55,8 @@
         if facts.is_leaving and self.leaving_since is None:
             self.leaving_since = now
             logs.event('target_leaving', target=self._instance, source='answer')
+        if not facts.is_leaving:
+            self.confirmed_at = max(self.confirmed_at, sent_at)
         if facts.backoff_seconds is not None:
             self.backoff.record_rejected(facts.backoff_seconds, now)
         elif head.status != HTTPStatus.SERVICE_UNAVAILABLE:
--- a/jacinthfold/placement/target.py
+++ b/jacinthfold/placement/target.py
@@ -1,13 +1,14 @@
 """Hold the state of one target, as this host knows it."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from jacinthfold import logs
 from jacinthfold.catalogue.model import TargetRecord
+from jacinthfold.catalogue.origin import ChangeOrigin
 from jacinthfold.placement import limits
 from jacinthfold.placement.prefix_cache import CachedPrefixes
 from jacinthfold.placement.pushback import Pushback
-from jacinthfold.request.messages import PromptPrefix
+from jacinthfold.request.messages import PromptPrefix, ResponseHead
 
 # Weight of the newest answer in the moving averages, and their initial value:
 # the time of three answers of an idle engine.
@@ -61,6 +62,9 @@
         'failures',
         'last_received_at',
         'is_removed',
+        'knowledge_age',
+        'leaving_heard_at',
+        'leaving_origin',
         'cached_prefixes',
         'own',
         'own_prefilled_tokens',
@@ -93,6 +97,11 @@
         # None while its record stays; else the end of its use as a last resort.
         self._record_expires_at: float | None = None
         self.is_removed = False
+        # Returns the maximum age of this host's records.
+        self.knowledge_age: Callable[[], float] = float
+        # Where its leaving was learned from, and when; None while it stays.
+        self.leaving_origin: ChangeOrigin | None = None
+        self.leaving_heard_at = float('-inf')
         self.pushback = pushback or Pushback(record.instance)
         self.cached_prefixes = CachedPrefixes()
         # Moving averages of the actual and the expected time of answers.
@@ -112,13 +121,13 @@
         """
         # An answer overrides a record that still says ready, since records
         # can't change while the store is unreachable.
-        since = self.pushback.leaving_since
-        if since is None:
-            return self._record_expires_at
-        notice_until = since + limits.LAST_RESORT_SECONDS
-        if self._record_expires_at is None:
-            return notice_until
-        return min(notice_until, self._record_expires_at)
+        pushback = self.pushback
+        until = _earlier(self._record_expires_at, pushback.drained_until)
+        if pushback.leaving_since is None:
+            return until
+        notice_until = pushback.leaving_since + limits.LAST_RESORT_SECONDS
+        until = _earlier(until, notice_until)
+        return _earlier(until, pushback.answer_until)
 
     @property
     def slowness(self) -> float:
@@ -159,6 +168,59 @@
         """Set until when its record allows its use; None while it stays."""
         self._record_expires_at = until
 
+    def record_leaving(
+        self, origin: ChangeOrigin, now: float, remaining_seconds: float
+    ) -> None:
+        """Bound the use of a target whose record drains or is gone."""
+        is_draining = self.record.is_draining
+        age_seconds = origin.age_seconds
+        if not is_draining:
+            # Its record may have lapsed with the store. An answer that does not
+            # announce leaving shows that the target still served.
+            age_seconds = min(age_seconds, now - self.pushback.confirmed_at)
+        until = now + _last_resort_seconds(age_seconds)
+        if is_draining:
+            self.pushback.drained_until = until
+        else:
+            self._record_expires_at = until
+        self.leaving_origin = origin
+        self.leaving_heard_at = now
+        logs.event(
+            'target_leaving',
+            target=self.record.instance,
+            source='record',
+            draining=is_draining,
+            remaining_seconds=remaining_seconds,
+            revision=origin.revision,
+            learned_from=origin.source,
+            age_seconds=age_seconds,
+        )
+
+    def record_answer(
+        self, head: ResponseHead, sent_at: float, now: float
+    ) -> None:
+        """Apply the head of an answer to a request sent at a given time."""
+        pushback = self.pushback
+        confirmed_at = pushback.confirmed_at
+        pushback.record_answer(head, sent_at, now)
+        if pushback.leaving_since is not None and pushback.answer_until is None:
+            # Its record may have said so earlier than this answer.
+            age_seconds = min(self.knowledge_age(), now - confirmed_at)
+            pushback.answer_until = now + _last_resort_seconds(age_seconds)
+
+    def log_rejected_send(self, now: float) -> None:
+        """Log how this host learned that the target leaves."""
+        origin = self.leaving_origin or ChangeOrigin(0, 'answer')
+        logs.event(
+            'send_rejected_leaving',
+            target=self.record.instance,
+            revision=origin.revision,
+            learned_from=origin.source,
+            learned_seconds_ago=now - self.leaving_heard_at,
+            age_seconds=origin.age_seconds,
+            knowledge_age_seconds=self.knowledge_age(),
+        )
+
     def rejection_reason(self, now: float, *, is_counted: bool) -> str:
         """Return why a request may not be sent now, empty if it may."""
         until = self.last_resort_until
@@ -196,3 +258,22 @@
                 seconds=seconds,
                 unreachable=is_unreachable,
             )
+
+
+def _earlier(first: float | None, second: float | None) -> float | None:
+    if first is None:
+        return second
+    return first if second is None else min(first, second)
+
+
+def _last_resort_seconds(age_seconds: float) -> float:
+    """Return for how long a target may be used that left so long ago.
+
+    Negative if it may not be used any more.
+    """
+    bound_seconds = (
+        limits.MAX_USE_AFTER_LEAVING_SECONDS
+        - limits.SEND_MARGIN_SECONDS
+        - limits.LAST_SEND_SECONDS
+    )
+    return min(limits.LAST_RESORT_SECONDS, bound_seconds - age_seconds)
--- a/jacinthfold/placement/targets.py
+++ b/jacinthfold/placement/targets.py
@@ -1,9 +1,10 @@
 """Hold the state of the targets of all regions, as this host knows it."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from jacinthfold import logs
 from jacinthfold.catalogue.model import Service, TargetRecord
+from jacinthfold.catalogue.origin import ChangeOrigin
 from jacinthfold.clock import Clock
 from jacinthfold.placement import limits
 from jacinthfold.placement.latency_model import LatencyModels
@@ -34,6 +35,10 @@
         self._superseded: list[Target] = []
         self._retained = RetainedPushback()
         self._services: Mapping[str, Service] = {}
+        # Returns the origin of the change that is being applied.
+        self.origin: Callable[[], ChangeOrigin] = ChangeOrigin
+        # Returns the maximum age of the records of targets.
+        self.knowledge_age: Callable[[], float] = float
         self.evacuated: frozenset[str] = frozenset()
         self.latency_models = LatencyModels()
         self.recent_uses = RecentPrefixUses()
@@ -81,18 +86,22 @@
         target = self._targets.get(record.instance)
         if target is None or _is_other_incarnation(target, record):
             target = self._add(record, target)
-        is_staying = target.last_resort_until is None
         is_key_changed = _index_key(target.record) != _index_key(record)
         target.record = record
         if is_key_changed:
             self._index()
         target.is_removed = False
         self._extend_cold(target, record.cold_seconds, now)
-        if record.is_draining and is_staying:
-            self._record_leaving(target, now, record.remaining_seconds)
         if not record.is_draining:
             # The record may have lapsed with the store and come back.
             target.set_record_expiry(None)
+            if record.started_at_ms is None:
+                # A late record can't be told from that of a restarted target.
+                target.pushback.drained_until = None
+        elif target.pushback.drained_until is None:
+            target.record_leaving(
+                self.origin(), now, record.remaining_seconds or 0.0
+            )
 
     def remove(self, instance: str) -> None:
         """Mark a target whose record is gone as leaving."""
@@ -101,7 +110,7 @@
             return
         target.is_removed = True
         if target.last_resort_until is None:
-            self._record_leaving(target, self._clock.monotonic(), None)
+            target.record_leaving(self.origin(), self._clock.monotonic(), 0.0)
 
     def evacuate(self, data_centre: str, *, is_evacuated: bool) -> None:
         """Start or end the evacuation of a data centre's targets."""
@@ -235,6 +244,7 @@
             started_at = _started_at(record, self._clock)
             pushback = earlier.pushback.for_next_incarnation(started_at)
         target = Target(record, pushback)
+        target.knowledge_age = self.knowledge_age
         if earlier is not None:
             # Nothing else carries over. The rate limit of cold targets counts
             # requests to the instance, across incarnations.
@@ -259,18 +269,6 @@
         until = now + seconds + limits.COLD_MARGIN_SECONDS
         target.cold_until = max(target.cold_until, until)
 
-    def _record_leaving(
-        self, target: Target, now: float, remaining_seconds: float | None
-    ) -> None:
-        target.set_record_expiry(now + limits.LAST_RESORT_SECONDS)
-        logs.event(
-            'target_leaving',
-            target=target.record.instance,
-            source='record',
-            draining=target.record.is_draining,
-            remaining_seconds=remaining_seconds or 0.0,
-        )
-
 
 def _index_key(record: TargetRecord) -> tuple[str, str, str]:
     return (record.incarnation_id, record.service, record.data_centre)
--- a/jacinthfold/proxy/attempts.py
+++ b/jacinthfold/proxy/attempts.py
@@ -109,7 +109,7 @@
         delivery.target_rejection = lambda: target.rejection_reason(
             self._clock.monotonic(), is_counted=estimate.is_counted
         )
-        delivery.on_head = lambda head: target.pushback.record_answer(
+        delivery.on_head = lambda head: target.record_answer(
             head, began_at, self._clock.monotonic()
         )
         try:
@@ -301,6 +301,8 @@
                     seconds - target.seconds_per_call
                 )
             return
+        if outcome.reason == 'target_left':
+            target.log_rejected_send(now)
         if outcome.is_rejected_locally or outcome.is_pushback:
             return
         if outcome.reason == 'wrong_instance':
--- a/tests/gateway/test_used_after_leaving.py
+++ b/tests/gateway/test_used_after_leaving.py
@@ -1,7 +1,14 @@
 """Targets that left, at hosts whose view of the store is old or disordered."""
 
+import pytest
+
+from jacinthfold import logs
 from jacinthfold.catalogue.records import Record
 from jacinthfold.fleet.snapshots import decode_snapshot, encode_snapshot
+from jacinthfold.placement import limits
+from jacinthfold.placement.decision import Reject, SendTo
+from jacinthfold.request.messages import ResponseFacts, ResponseHead
+from tests.gateway.test_placement import Scene
 from tests.gateway.test_translation import catalogue, target
 
 
@@ -81,3 +88,199 @@
     records.apply([target('k', 3)], 3)
     records.replace([target('k', 3), target('i', 2)], 3)
     assert notifications[-1] == ('target', 'i')
+
+
+class Follower:
+    """Apply a catalogue's changes to the targets of one host."""
+
+    def __init__(self):
+        self.scene = Scene()
+        self.clock = self.scene.clock
+        self.records, _ = catalogue(self.clock)
+        self.targets = self.scene.targets
+        listener = self.records._listeners[0]
+        listener.on_target = self.targets.put
+        listener.on_target_removed = self.targets.remove
+        self.targets.origin = lambda: self.records.origin
+        self.targets.knowledge_age = lambda: self.records.freshness.age_seconds
+
+    def prove(self):
+        """Record that the store answers now with this host's revision."""
+        self.records.freshness.record_revision(
+            self.clock.boottime(), self.records.revision
+        )
+
+    def apply(self, *changed):
+        revision = max(one.revision for one in changed)
+        self.records.apply(changed, revision, 'peer')
+
+    def choose(self):
+        return self.scene.choose(self.scene.request(service='b'))
+
+    def rejection(self):
+        now = self.clock.monotonic()
+        found = self.targets.find('i')
+        return found.rejection_reason(now, is_counted=False)
+
+
+def following(**fields):
+    """Return a host that knows a ready target, and proved that just now."""
+    host = Follower()
+    host.apply(ready(1, **fields))
+    host.prove()
+    return host
+
+
+def ready(revision, **fields):
+    return target('i', revision, zone='n-1', **fields)
+
+
+def draining(revision, **fields):
+    return ready(revision, state='draining', **fields)
+
+
+def answered(host, *, is_leaving=False):
+    """Receive the target's answer to a request sent now."""
+    facts = ResponseFacts()
+    facts.is_leaving = is_leaving
+    now = host.clock.monotonic()
+    head = ResponseHead(200, [], facts)
+    host.targets.find('i').record_answer(head, now, now)
+
+
+@pytest.mark.parametrize('age_seconds', [0.0, 2.0, 2.6, 4.0, 4.5, 60.0])
+@pytest.mark.parametrize('fields', [{}, {'born': 7}])
+def test_nothing_is_sent_five_seconds_after_the_record(age_seconds, fields):
+    """Guards against a last resort that counts from when the host heard.
+
+    The target may have said that it leaves right after the last proof. The
+    news of it waits for silent peers or a watch that hangs.
+    """
+    host = following(**fields)
+    said_at = host.clock.monotonic()
+    host.clock.advance(age_seconds)
+    host.apply(draining(2, **fields))
+    while host.clock.monotonic() < said_at + age_seconds + 6:
+        is_late = host.clock.monotonic() > said_at + 5
+        assert not (is_late and isinstance(host.choose(), SendTo))
+        assert not (is_late and host.rejection() == '')
+        host.clock.advance(0.05)
+
+
+def test_recent_news_allow_the_whole_last_resort():
+    """Guards against a bound that takes the last resort from fresh hosts."""
+    host = following()
+    host.clock.advance(2)
+    host.apply(draining(2))
+    host.clock.advance(limits.LAST_RESORT_SECONDS - 0.01)
+    assert isinstance(host.choose(), SendTo)
+
+
+def test_target_first_seen_draining_without_a_proof_is_not_used():
+    """Guards against a last resort of a target that left long ago.
+
+    The host starts from a neighbour's snapshot and can't know how old it is.
+    """
+    host = Follower()
+    host.apply(draining(1))
+    assert isinstance(host.choose(), Reject)
+    assert host.rejection() == 'target_left'
+
+
+def test_late_record_does_not_revive_a_target_that_left():
+    """Guards against a late heartbeat of a target that drained.
+
+    It writes its record as ready after its removal, under a new revision. The
+    host may have dropped the target meanwhile.
+    """
+    for is_dropped in (False, True):
+        host = following(born=7)
+        host.apply(draining(2, born=7))
+        host.apply(removal('i', 3))
+        if is_dropped:
+            host.clock.advance(limits.LAST_RESORT_SECONDS + 0.1)
+            assert len(host.targets.drop_expired()) == 1
+        host.prove()
+        host.apply(ready(4, born=7))
+        host.clock.advance(limits.LAST_RESORT_SECONDS + 0.1)
+        assert isinstance(host.choose(), Reject)
+        host.apply(ready(5, born=9))
+        assert isinstance(host.choose(), SendTo)
+
+
+@pytest.mark.parametrize('fields', [{}, {'born': 7}])
+def test_record_that_lapsed_with_the_store_revives_its_target(fields):
+    """Guards against targets that are lost for good after an outage."""
+    host = following(**fields)
+    host.apply(removal('i', 2))
+    host.clock.advance(limits.LAST_RESORT_SECONDS + 0.1)
+    host.targets.drop_expired()
+    host.apply(ready(3, **fields))
+    assert isinstance(host.choose(), SendTo)
+
+
+def test_host_cut_off_from_the_store_uses_targets_that_stay():
+    """Guards against a host that stops serving when its records are old."""
+    host = following()
+    host.clock.advance(600)
+    assert isinstance(host.choose(), SendTo)
+    assert host.rejection() == ''
+
+
+def test_lapsed_target_that_answers_is_a_last_resort_despite_old_records():
+    """Guards against rejections after an outage in which targets answered.
+
+    Without a recent answer it may have drained and left meanwhile.
+    """
+    for answers in (True, False):
+        host = following()
+        host.clock.advance(60)
+        if answers:
+            answered(host)
+        host.clock.advance(1)
+        host.apply(removal('i', 2))
+        assert isinstance(host.choose(), SendTo) is answers
+
+
+def test_leaving_answer_to_a_host_with_old_records_ends_its_use():
+    """Guards against a last resort that begins anew with the first answer.
+
+    The target said long ago in its record that it leaves, which this host has
+    not received.
+    """
+    host = following()
+    host.clock.advance(60)
+    answered(host, is_leaving=True)
+    assert isinstance(host.choose(), Reject)
+    assert host.rejection() == 'target_left'
+
+
+def test_leaving_answer_after_one_without_it_starts_the_last_resort():
+    """Guards against a bound that ignores what targets answered before."""
+    host = following()
+    host.clock.advance(60)
+    answered(host)
+    host.clock.advance(1)
+    answered(host, is_leaving=True)
+    assert isinstance(host.choose(), SendTo)
+
+
+def test_log_names_revision_source_and_age(monkeypatch):
+    """Guards against a late send whose cause the logs don't show."""
+    lines = []
+    monkeypatch.setattr(
+        logs, 'event', lambda name, **fields: lines.append((name, fields))
+    )
+    host = following()
+    host.clock.advance(3)
+    host.apply(draining(2))
+    fields = dict(lines)['target_leaving']
+    assert fields['revision'] == 2
+    assert fields['learned_from'] == 'peer'
+    assert fields['age_seconds'] == 3
+    host.clock.advance(2)
+    now = host.clock.monotonic()
+    host.targets.find('i').log_rejected_send(now)
+    fields = dict(lines)['send_rejected_leaving']
+    assert fields['revision'] == 2
+    assert fields['learned_seconds_ago'] == 2
--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -15,6 +15,7 @@
 from tools.ablations.decisions import DECISIONS
 from tools.ablations.fleet import LARGE_FLEETS
 from tools.ablations.gateway import GATEWAY_HOSTS
+from tools.ablations.leaving import LEAVING
 from tools.ablations.model import Ablation
 from tools.ablations.organisations import ORGANISATIONS
 from tools.ablations.quarantine import QUARANTINE
@@ -26,6 +27,7 @@
 ABLATIONS = [
     *SERVE,
     *GATEWAY_HOSTS,
+    *LEAVING,
     *DECISIONS,
     *LARGE_FLEETS,
     *QUARANTINE,
