--- a/jacinthfold/fleet/freshness_exchange.py
+++ b/jacinthfold/fleet/freshness_exchange.py
@@ -121,7 +121,9 @@
             return
         sent_at = send_times.at(receipt[1])
         if sent_at is not None:
-            self._freshness.record_revision(sent_at - proof[0] / _MS, proof[1])
+            # A negative age would make records look newer than they are.
+            age_seconds = max(0, proof[0]) / _MS
+            self._freshness.record_revision(sent_at - age_seconds, proof[1])
 
     def _own_report(self) -> ProofReport | None:
         age_seconds = self._freshness.age_seconds
--- a/jacinthfold/fleet/snapshots.py
+++ b/jacinthfold/fleet/snapshots.py
@@ -25,6 +25,9 @@
 # after about 1.5 s by calculation, within the smallest allowed bound of 3 s.
 CHECK_INTERVAL_SECONDS = 0.5
 CALL_TIMEOUT_SECONDS = 1.5
+# The next host is asked if one is silent for this long. Two silent hosts, one
+# after the other, would delay changes by two call timeouts.
+HEDGE_DELAY_SECONDS = 0.5
 # The fastest level compresses 0.5 MB of routes in 3 ms to 6 % of its size.
 COMPRESSION_LEVEL = 1
 
@@ -82,9 +85,17 @@
 
     async def _catch_up(self, endpoints: list[Endpoint]) -> None:
         remaining = list(endpoints)
-        is_done = False
-        while remaining and not is_done:
-            is_done = await self._fetch_from(remaining.pop(0))
+        fetches: set[asyncio.Task[bool]] = set()
+        try:
+            while remaining or fetches:
+                if remaining:
+                    fetch = self._fetch_from(remaining.pop(0))
+                    fetches.add(asyncio.create_task(fetch))
+                if await _any_succeeds(fetches, HEDGE_DELAY_SECONDS):
+                    return
+        finally:
+            for pending in fetches:
+                pending.cancel()
 
     async def _fetch_from(self, endpoint: Endpoint) -> bool:
         peer = f'{endpoint[0]}:{endpoint[1]}'
@@ -113,6 +124,19 @@
         return True
 
 
+async def _any_succeeds(
+    fetches: set[asyncio.Task[bool]], timeout_seconds: float
+) -> bool:
+    """Wait for the next result; remove finished fetches."""
+    done, _ = await asyncio.wait(
+        fetches,
+        timeout=timeout_seconds,
+        return_when=asyncio.FIRST_COMPLETED,
+    )
+    fetches -= done
+    return any([fetch.result() for fetch in done])
+
+
 class Snapshot:
     """Hold all records at a revision, or only the changed ones."""
 
--- a/tests/gateway/test_freshness.py
+++ b/tests/gateway/test_freshness.py
@@ -122,6 +122,16 @@
     assert freshness_of(other).proof.as_of <= read_at
 
 
+def test_negative_age_of_a_neighbour_makes_no_proof_newer():
+    """Guards against a malformed heartbeat that makes old records look new."""
+    fleet = fleet_exchanging_proofs(2, ('n-1',))
+    sender, receiver = fleet.hosts.values()
+    exchange = sender.heartbeats.freshness_exchange
+    exchange._own_report = lambda: (-60000, 1)
+    fleet.run(2)
+    assert 0 <= freshness_of(receiver).age_seconds < 1
+
+
 def test_receipt_of_an_earlier_incarnation_is_ignored():
     """A host restarts, and a neighbour still acknowledges older messages."""
     fleet = fleet_exchanging_proofs(2, ('n-1',))
--- a/tests/gateway/test_watchers.py
+++ b/tests/gateway/test_watchers.py
@@ -1,5 +1,6 @@
 """Store watchers of large regions, snapshots and traffic across regions."""
 
+import asyncio
 import hashlib
 import json
 
@@ -12,6 +13,7 @@
 from jacinthfold.fleet.snapshots import (
     CALL_TIMEOUT_SECONDS,
     CompressedSnapshots,
+    SnapshotFetcher,
     SnapshotQuery,
     decode_snapshot,
     encode_snapshot,
@@ -272,3 +274,38 @@
     hosts = host_tables(FakeClock(), NAMES)
     exchange_heartbeats(hosts)
     return watcher_names(hosts)
+
+
+class HalfSilentClient:
+    """Return a snapshot from one host; the other never answers."""
+
+    def __init__(self, silent, content):
+        self.silent = silent
+        self.content = content
+        self.cancelled = []
+
+    async def get(self, endpoint, _path, _timeout_seconds):
+        if endpoint != self.silent:
+            return self.content
+        try:
+            await asyncio.Event().wait()
+        finally:
+            self.cancelled.append(endpoint)
+
+
+def test_silent_host_does_not_delay_the_pull_from_another():
+    """Guards against changes that wait for a host that is cut off or frozen.
+
+    It is asked first and answers nothing. Meanwhile a target that leaves would
+    look ready here, for as long as the calls to silent hosts last.
+    """
+    ahead = catalogue()
+    ahead.apply([Record('x/a', 1, b'1')], 1)
+    silent, other = ('10.0.0.1', 1), ('10.0.0.2', 1)
+    client = HalfSilentClient(silent, encode_snapshot(ahead, 0))
+    behind = catalogue()
+    fetcher = SnapshotFetcher(None, behind, client, FakeClock())
+    pull = fetcher._catch_up([silent, other])
+    asyncio.run(asyncio.wait_for(pull, 30))
+    assert behind.revision == 1
+    assert client.cancelled == [silent]
