Send nothing from a resumed host before it reads what changed

Cause: a request that was placed before its host was frozen or suspended, or that waited in an open connection, was sent at once on resume, also to a target that had left. Only deployments with keys were covered, by the bound of the key gate.

Change: ResumeGuard detects a pause of over 3 s by the boot-time clock. For 1.5 s after it, a send is rejected as not run if the records are older than 4.6 s (target_unconfirmed), and the last resort is not used, since its end counts in monotonic time, which stands still in a suspend. A host that is still without a proof after that is cut off, and uses staying targets again.

Before (without the guard, as an ablation): the frozen host of test_frozen_host_uses_no_target_that_left_meanwhile sends the request to the target. After: 31 of test_used_after_leaving.py pass; test_knowledge, test_life, test_leaving_in_answers, test_rebirth, test_placement, test_other_writers, test_target_rest, test_limit_shares, test_freshness, test_watchers, test_translation and test_quarantine pass (260 in all). Ablations: 3 of 3 "leaving: a resumed" fail as they should.

--- a/jacinthfold/gateway/cluster_view.py
+++ b/jacinthfold/gateway/cluster_view.py
@@ -167,6 +167,7 @@
         """Activate the host and drop expired state until cancelled."""
         while True:
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
+            self.targets.resume_guard.tick()
             self._activate_when_ready()
             self._refresh_hosts_when_due()
             for target in self.targets.drop_expired():
--- a/jacinthfold/placement/target.py
+++ b/jacinthfold/placement/target.py
@@ -16,6 +16,10 @@
 SPEED_START_SECONDS = 0.2
 SLOWNESS_LIMIT = 8.0
 FAILURE_WEIGHT = 0.25
+# How old a target's leaving may be when a request is sent to it.
+_MAX_SEND_AGE_SECONDS = (
+    limits.MAX_USE_AFTER_LEAVING_SECONDS - limits.SEND_MARGIN_SECONDS
+)
 
 
 class Load:
@@ -62,6 +66,7 @@
         'failures',
         'last_received_at',
         'is_removed',
+        'is_resuming',
         'knowledge_age',
         'leaving_heard_at',
         'leaving_origin',
@@ -99,6 +104,8 @@
         self.is_removed = False
         # Returns the maximum age of this host's records.
         self.knowledge_age: Callable[[], float] = float
+        # Returns whether this host has just resumed from a pause.
+        self.is_resuming: Callable[[], bool] = bool
         # Where its leaving was learned from, and when; None while it stays.
         self.leaving_origin: ChangeOrigin | None = None
         self.leaving_heard_at = float('-inf')
@@ -209,14 +216,19 @@
             pushback.answer_until = now + _last_resort_seconds(age_seconds)
 
     def log_rejected_send(self, now: float) -> None:
-        """Log how this host learned that the target leaves."""
-        origin = self.leaving_origin or ChangeOrigin(0, 'answer')
+        """Log what this host knows of a target that leaves or may have left."""
+        origin = self.leaving_origin
+        heard_at = self.leaving_heard_at
+        if origin is None:
+            is_answer = self.pushback.leaving_since is not None
+            origin = ChangeOrigin(0, 'answer' if is_answer else 'nothing')
+            heard_at = self.pushback.leaving_since or now
         logs.event(
             'send_rejected_leaving',
             target=self.record.instance,
             revision=origin.revision,
             learned_from=origin.source,
-            learned_seconds_ago=now - self.leaving_heard_at,
+            learned_seconds_ago=now - heard_at,
             age_seconds=origin.age_seconds,
             knowledge_age_seconds=self.knowledge_age(),
         )
@@ -224,8 +236,13 @@
     def rejection_reason(self, now: float, *, is_counted: bool) -> str:
         """Return why a request may not be sent now, empty if it may."""
         until = self.last_resort_until
-        if until is not None and now > until + limits.LAST_SEND_SECONDS:
+        is_resuming = self.is_resuming()
+        if until is not None and (
+            is_resuming or now > until + limits.LAST_SEND_SECONDS
+        ):
             return 'target_left'
+        if is_resuming and self.knowledge_age() > _MAX_SEND_AGE_SECONDS:
+            return 'target_unconfirmed'
         return self.pushback.rejection_reason(now, is_counted=is_counted)
 
     def record_failure(self, now: float, *, is_unreachable: bool) -> None:
@@ -271,9 +288,5 @@
 
     Negative if it may not be used any more.
     """
-    bound_seconds = (
-        limits.MAX_USE_AFTER_LEAVING_SECONDS
-        - limits.SEND_MARGIN_SECONDS
-        - limits.LAST_SEND_SECONDS
-    )
+    bound_seconds = _MAX_SEND_AGE_SECONDS - limits.LAST_SEND_SECONDS
     return min(limits.LAST_RESORT_SECONDS, bound_seconds - age_seconds)
--- a/jacinthfold/placement/targets.py
+++ b/jacinthfold/placement/targets.py
@@ -10,6 +10,7 @@
 from jacinthfold.placement.latency_model import LatencyModels
 from jacinthfold.placement.prefix_cache import RecentPrefixUses
 from jacinthfold.placement.pushback import RetainedPushback
+from jacinthfold.placement.resume_guard import ResumeGuard
 from jacinthfold.placement.target import Load, Target
 
 
@@ -39,6 +40,7 @@
         self.origin: Callable[[], ChangeOrigin] = ChangeOrigin
         # Returns the maximum age of the records of targets.
         self.knowledge_age: Callable[[], float] = float
+        self.resume_guard = ResumeGuard(clock)
         self.evacuated: frozenset[str] = frozenset()
         self.latency_models = LatencyModels()
         self.recent_uses = RecentPrefixUses()
@@ -245,6 +247,7 @@
             pushback = earlier.pushback.for_next_incarnation(started_at)
         target = Target(record, pushback)
         target.knowledge_age = self.knowledge_age
+        target.is_resuming = self.resume_guard.is_resuming
         if earlier is not None:
             # Nothing else carries over. The rate limit of cold targets counts
             # requests to the instance, across incarnations.
--- a/jacinthfold/proxy/attempts.py
+++ b/jacinthfold/proxy/attempts.py
@@ -301,7 +301,7 @@
                     seconds - target.seconds_per_call
                 )
             return
-        if outcome.reason == 'target_left':
+        if outcome.reason in {'target_left', 'target_unconfirmed'}:
             target.log_rejected_send(now)
         if outcome.is_rejected_locally or outcome.is_pushback:
             return
--- a/tests/gateway/test_used_after_leaving.py
+++ b/tests/gateway/test_used_after_leaving.py
@@ -1,5 +1,7 @@
 """Targets that left, at hosts whose view of the store is old or disordered."""
 
+import signal
+
 import pytest
 
 from jacinthfold import logs
@@ -7,7 +9,12 @@
 from jacinthfold.fleet.snapshots import decode_snapshot, encode_snapshot
 from jacinthfold.placement import limits
 from jacinthfold.placement.decision import Reject, SendTo
+from jacinthfold.placement.resume_guard import (
+    MIN_PAUSE_SECONDS,
+    RESUME_SECONDS,
+)
 from jacinthfold.request.messages import ResponseFacts, ResponseHead
+from tests.gateway.deployment import Connection, pause, route, wait_served
 from tests.gateway.test_placement import Scene
 from tests.gateway.test_translation import catalogue, target
 
@@ -284,3 +291,85 @@
     fields = dict(lines)['send_rejected_leaving']
     assert fields['revision'] == 2
     assert fields['learned_seconds_ago'] == 2
+
+
+def run_for(host, seconds):
+    """Let a host run, with the ticks of its housekeeping."""
+    for _ in range(round(seconds / 0.1)):
+        host.clock.advance(0.1)
+        host.targets.resume_guard.tick()
+
+
+def test_frozen_host_sends_nothing_before_it_reads_the_news():
+    """Guards against a request that was placed before its host was frozen.
+
+    The target left meanwhile. The host still takes it for ready and would send
+    before it reads the record that waits in its connection.
+    """
+    host = following()
+    run_for(host, 1)
+    assert host.rejection() == ''
+    host.clock.advance(5)
+    assert host.rejection() == 'target_unconfirmed'
+    host.targets.resume_guard.tick()
+    assert host.rejection() == 'target_unconfirmed'
+    host.prove()
+    assert host.rejection() == ''
+
+
+def test_frozen_host_without_the_store_serves_again():
+    """Guards against a host that is cut off and never serves after a pause."""
+    host = following()
+    run_for(host, 60)
+    assert host.rejection() == ''
+    host.clock.advance(5)
+    run_for(host, RESUME_SECONDS + 0.2)
+    assert host.rejection() == ''
+
+
+def test_resumed_host_sends_nothing_to_a_leaving_target():
+    """Guards against a last resort whose clock stood still in a suspend."""
+    host = following()
+    run_for(host, 1)
+    host.prove()
+    host.apply(draining(2))
+    assert host.rejection() == ''
+    now = host.clock.boottime()
+    host.clock.boottime = lambda: now + 10
+    assert host.rejection() == 'target_left'
+
+
+def test_short_pause_rejects_nothing():
+    """Guards against rejections at hosts that are short of processor time."""
+    host = following()
+    run_for(host, 60)
+    host.clock.advance(MIN_PAUSE_SECONDS - 0.1)
+    assert host.rejection() == ''
+
+
+def test_frozen_host_uses_no_target_that_left_meanwhile(deployment):
+    """Freeze a host with one target, which leaves while the store is away.
+
+    A request waits in an open connection when the host resumes. No organisation
+    has keys here, so that no check of a key rejects it.
+    """
+    deployment.put_routes(route('/order/'))
+    deployment.add_target('i-1', 'desk')
+    host = deployment.start_host('north-a')
+    wait_served(deployment, 'north-a', '/order/x')
+    connection = Connection(host.callers)
+    connection.send('/order/1', request_id='before')
+    assert connection.receive().status == 200
+    pause(0.5)
+    host.signal(signal.SIGSTOP)
+    deployment.store.is_down = True
+    deployment.put_target('i-1', 'desk', state='draining')
+    pause(5.5)
+    deployment.targets['i-1'].executed.clear()
+    connection.send('/order/2', request_id='after')
+    host.signal(signal.SIGCONT)
+    assert connection.receive().status == 503
+    connection.close()
+    assert not deployment.targets['i-1'].executed
+    # The host stays cut off, and the target answers it without leaving.
+    wait_served(deployment, 'north-a', '/order/x')
--- a/tools/ablations/leaving.py
+++ b/tools/ablations/leaving.py
@@ -99,6 +99,39 @@
         ],
         'tests/gateway/test_freshness.py::test_negative_age_of_a_neighbour_makes_no_proof_newer',
     ),
+    Ablation(
+        'leaving: a resumed host sends nothing before it reads the news',
+        [
+            (
+                'placement/target.py',
+                'if is_resuming and self.knowledge_age() > _MAX_SEND_AGE_SECONDS:',
+                'if False:',
+            ),
+        ],
+        f'{LEAVING_TESTS}::test_frozen_host_uses_no_target_that_left_meanwhile',
+    ),
+    Ablation(
+        'leaving: a resumed host uses no last resort',
+        [
+            (
+                'placement/target.py',
+                'is_resuming or now > until + limits.LAST_SEND_SECONDS',
+                'now > until + limits.LAST_SEND_SECONDS',
+            ),
+        ],
+        f'{LEAVING_TESTS}::test_resumed_host_sends_nothing_to_a_leaving_target',
+    ),
+    Ablation(
+        'leaving: a resumed host that stays cut off serves again',
+        [
+            (
+                'placement/resume_guard.py',
+                'self._resumed_at < RESUME_SECONDS',
+                "self._resumed_at < float('inf')",
+            ),
+        ],
+        f'{LEAVING_TESTS}::test_frozen_host_without_the_store_serves_again',
+    ),
 ]
 
 INPUT_TESTS = 'tests/gateway/test_peer_input.py'
