--- a/tests/gateway/test_used_after_leaving.py
+++ b/tests/gateway/test_used_after_leaving.py
@@ -76,6 +76,22 @@
     assert keys(third) == {'servers/k'}
 
 
+def test_ended_evacuation_is_ended_everywhere():
+    """Guards against a data centre that stays evacuated at some hosts."""
+    evacuation = Record('op/evacuate/n-1', 2, b'{}')
+    first, second, third = (catalogue()[0] for _ in range(3))
+    for one in (first, second, third):
+        one.apply([target('k', 1)], 1)
+    for one in (first, third):
+        one.apply([evacuation], 2)
+    first.apply([Record('op/evacuate/n-1', 3, None)], 3)
+    pull(second, first)
+    pull(third, second)
+    second.apply([evacuation], 2)
+    assert not second.evacuated
+    assert not third.evacuated
+
+
 def test_record_written_again_after_its_removal_is_applied():
     """Guards against ignoring a record that lapsed and was written anew."""
     records, notifications = catalogue()
