--- a/tests/gateway/test_used_after_leaving.py
+++ b/tests/gateway/test_used_after_leaving.py
@@ -15,6 +15,7 @@
 )
 from jacinthfold.request.messages import ResponseFacts, ResponseHead
 from tests.gateway.deployment import Connection, pause, route, wait_served
+from tests.gateway.test_knowledge import wait_targets
 from tests.gateway.test_placement import Scene
 from tests.gateway.test_translation import catalogue, target
 
@@ -389,3 +390,23 @@
     assert not deployment.targets['i-1'].executed
     # The host stays cut off, and the target answers it without leaving.
     wait_served(deployment, 'north-a', '/order/x')
+
+
+def test_target_that_left_during_an_outage_is_no_last_resort(deployment):
+    """The only target drains while the host is cut off from the store.
+
+    The host hears of it over five seconds later. A last resort that began then
+    would use the target for two more seconds.
+    """
+    deployment.put_routes(route('/order/'))
+    deployment.add_target('i-1', 'desk')
+    deployment.start_host('north-a')
+    wait_served(deployment, 'north-a', '/order/x')
+    deployment.store.is_down = True
+    deployment.put_target('i-1', 'desk', state='draining')
+    pause(5.5)
+    deployment.store.is_down = False
+    wait_targets(deployment, 'north-a', 0)
+    deployment.targets['i-1'].executed.clear()
+    assert deployment.ask('north-a', '/order/1').status == 503
+    assert not deployment.targets['i-1'].executed
--- a/tools/ablations/decisions.py
+++ b/tools/ablations/decisions.py
@@ -39,7 +39,7 @@
         [
             (
                 'placement/target.py',
-                '        if since is None:',
+                '        if pushback.leaving_since is None:',
                 '        if True:',
             ),
         ],
--- a/tools/ablations/organisations.py
+++ b/tools/ablations/organisations.py
@@ -80,8 +80,8 @@
         [
             (
                 'fleet/freshness_exchange.py',
-                'self._freshness.record_revision(sent_at - proof[0] / _MS, proof[1])',
-                'self._freshness.record_revision(self._clock.boottime() - proof[0] / _MS, proof[1])',
+                'self._freshness.record_revision(sent_at - age_seconds, proof[1])',
+                'self._freshness.record_revision(self._clock.boottime() - age_seconds, proof[1])',
             )
         ],
         FRESH + 'test_proof_age_includes_delivery_delay',
