--- a/jacinthfold/gateway/cluster_view.py
+++ b/jacinthfold/gateway/cluster_view.py
@@ -61,6 +61,10 @@
         self.targets = TargetTable(settings.data_centres, clock)
         self.catalogue = Catalogue(adapter.reader, decode_host, clock)
         self.catalogue.subscribe(self)
+        self.targets.origin = lambda: self.catalogue.origin
+        self.targets.knowledge_age = lambda: (
+            self.catalogue.freshness.age_seconds
+        )
         self.follower = Follower(adapter.store, self.catalogue, clock)
         self.registration = Registration(adapter.store, own)
         self.organisations = OrganisationAccess(
@@ -169,6 +173,7 @@
         """Activate the host and drop expired state until cancelled."""
         while True:
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
+            self.targets.resume_guard.tick()
             self._activate_when_ready()
             self._refresh_hosts_when_due()
             for target in self.targets.drop_expired():
