Keep plain calls to each host's share of a target's places

Cause: load reports are as old (0.2 to 0.5 s) as a plain target's whole queue is long, and a call is accepted while it is expected within four latency objectives. Hosts fill the queues before any of them learns of it.

Change, with target_places on: a target's places are learned from its answers (ConcurrencyLimit) and bounded by what can be in time; each host has whole places by rank (PlaceShares), and its own requests in flight, which it knows exactly, stay within them. While the reported load is below a third of the places, a host without a free place may use a share in proportion to its part of the demand, measured by its own arrivals and the target's capacity. No message is added. A host without a place relays the call, or rejects it as no_place with the time at which its next place is free. Attempts.on_place_freed tells when a place is free.

Tests: test_target_places, test_placement, test_herd, test_choice, test_permit_order, test_requests, test_limit_shares pass.

--- a/jacinthfold/gateway/cluster_view.py
+++ b/jacinthfold/gateway/cluster_view.py
@@ -171,6 +171,7 @@
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
             self._activate_when_ready()
             self._refresh_hosts_when_due()
+            self._refresh_place_shares()
             for target in self.targets.drop_expired():
                 self.pool.close_idle(target.connection_key)
                 self.quarantine.crash_detector.forget(target)
@@ -213,6 +214,9 @@
                     'is_leaving': target.last_resort_until is not None,
                     'failing_share': target.failing_share,
                     'limit_per_second': target.pushback.limit.per_second,
+                    'places': target.concurrency_limit.places(
+                        target.record.slots
+                    ),
                 }
                 for target in self.targets.all()
             ],
@@ -250,6 +254,14 @@
             self._hosts_refreshed_at = now
             self._refresh_hosts()
 
+    def _refresh_place_shares(self) -> None:
+        # In each run, so that the places of a host that is gone are used again
+        # within the time after which it counts as gone.
+        shares = self.placer.place_shares
+        if shares.is_enabled:
+            serving = self.hosts.serving(self.own.region)
+            shares.update_hosts(host.name for host in serving)
+
     def _refresh_hosts(self) -> None:
         self._pace.update_hosts(self.hosts.names_in(self.own.region))
         serving = self.hosts.serving(self.own.region)
--- a/jacinthfold/placement/choice.py
+++ b/jacinthfold/placement/choice.py
@@ -14,7 +14,6 @@
 from jacinthfold.placement.pace import ColdTargetPacer
 from jacinthfold.placement.preferred_regions import PreferredRegions
 from jacinthfold.placement.regions import RegionView, RemoteRegion
-from jacinthfold.placement.retry_schedule import RetrySchedule
 from jacinthfold.placement.target import Target
 from jacinthfold.placement.targets import TargetTable
 from jacinthfold.placement.usable import UsableTargets
@@ -56,8 +55,14 @@
         self._jitter = LoadJitter()
         self.limit_shares = LimitShares(pace.ranks.own_name, clock)
         self._usable = UsableTargets(
-            region, targets, pace, self.limit_shares, RetrySchedule(clock)
+            region,
+            targets,
+            pace,
+            self.limit_shares,
+            clock,
+            has_places=self._overload.target_places,
         )
+        self.place_shares = self._usable.place_shares
 
     def choose(
         self,
@@ -79,7 +84,10 @@
             return SendTo(best)
         if remote is not None and remote.seconds <= allowed:
             return RelayTo(remote)
-        return self._choose_when_late(request, best, remote)
+        choice = self._choose_when_late(request, best, remote)
+        if best is None and isinstance(choice, Reject):
+            return self._no_place_rejection(request, tried, remote) or choice
+        return choice
 
     def record_sent(self, choice: SendTo, request: Request) -> None:
         """Count a request that is sent to a target."""
@@ -88,6 +96,8 @@
         self._jitter.record_sent(request.service_name, now)
         estimate = choice.estimate
         estimate.is_counted = self._usable.record_sent(target, now)
+        if self._usable.has_places(request.service_name):
+            estimate.in_flight_before = target.load(now).requests
         target.record_sent(request.facts.prefixes, estimate.tokens_to_prefill)
         shared = request.facts.shared_prefixes
         if shared and shared[-1].tokens >= limits.COPY_AT_LEAST_TOKENS:
@@ -113,8 +123,14 @@
         if not request.allows(self._region):
             return None
         now = self._clock.monotonic()
+        if self._usable.has_places(request.service_name):
+            self.place_shares.record_call(request, now)
         usable = self._usable.find(
-            request.service_name, tried, now, is_urgent=request.is_urgent
+            request.service_name,
+            tried,
+            now,
+            is_urgent=request.is_urgent,
+            objective_seconds=request.route.latency_objective_seconds,
         )
         if not usable:
             return None
@@ -275,6 +291,26 @@
         after_seconds = self._retry_after_seconds(least - half_objective)
         return Reject('late', after_seconds, best, remote)
 
+    def _no_place_rejection(
+        self,
+        request: Request,
+        tried: Collection[str],
+        remote: RemoteRegion | None,
+    ) -> Reject | None:
+        """Return a rejection if this host has no free place, else None."""
+        if not request.allows(self._region):
+            return None
+        rejection = self._usable.no_place_rejection(
+            request, tried, self._clock.monotonic()
+        )
+        if rejection is not None:
+            # The schedule spreads the retries already.
+            rejection.remote_region = remote
+            rejection.after_seconds = max(
+                MIN_RETRY_AFTER_SECONDS, rejection.after_seconds
+            )
+        return rejection
+
     def _reject_without_target(self, request: Request) -> Reject:
         rejection = self._usable.no_target_rejection(
             request.service_name, self._clock.monotonic()
--- a/jacinthfold/placement/decision.py
+++ b/jacinthfold/placement/decision.py
@@ -27,7 +27,13 @@
 class Reject:
     """Reject the request, since it can't be served in time."""
 
-    __slots__ = ('after_seconds', 'remote_region', 'local_estimate', 'reason')
+    __slots__ = (
+        'after_seconds',
+        'inputs',
+        'local_estimate',
+        'reason',
+        'remote_region',
+    )
 
     def __init__(
         self,
@@ -41,6 +47,8 @@
         self.after_seconds = after_seconds
         self.local_estimate = local_estimate
         self.remote_region = remote_region
+        # What the decision was made from, for the log.
+        self.inputs: dict[str, float] = {}
 
 
 Choice = SendTo | RelayTo | Reject
--- a/jacinthfold/placement/estimates.py
+++ b/jacinthfold/placement/estimates.py
@@ -18,6 +18,7 @@
         'cached_tokens',
         'is_counted',
         'copy_source',
+        'in_flight_before',
         'pairs',
         'running_seconds',
         'seconds',
@@ -44,6 +45,9 @@
         self.pairs = 0.0
         # Whether the request was counted against the target's limit.
         self.is_counted = False
+        # Requests in flight at the target when this one was sent; None if its
+        # places are not shared.
+        self.in_flight_before: int | None = None
         # Another target from which this one copies the shared prefix.
         self.copy_source: Target | None = None
 
--- a/jacinthfold/placement/jitter.py
+++ b/jacinthfold/placement/jitter.py
@@ -21,20 +21,23 @@
 MIN_JITTER_SECONDS = 0.004
 
 
-class _DecayingRate:
-    """Hold an exponentially decaying count of sends."""
+class DecayingRate:
+    """Hold an exponentially decaying count of events."""
 
     __slots__ = ('_at', '_weight')
 
     def __init__(self, now: float) -> None:
+        """Start without events."""
         self._at = now
         self._weight = 0.0
 
     def record(self, now: float) -> None:
+        """Count an event."""
         self._weight = self._decayed(now) + 1
         self._at = now
 
     def per_second(self, now: float) -> float:
+        """Return the rate of the recent events."""
         return self._decayed(now) / RATE_WINDOW_SECONDS
 
     def _decayed(self, now: float) -> float:
@@ -49,11 +52,11 @@
 
     def __init__(self) -> None:
         """Start without sends."""
-        self._rates: dict[str, _DecayingRate] = {}
+        self._rates: dict[str, DecayingRate] = {}
 
     def record_sent(self, service: str, now: float) -> None:
         """Count a request that this host sent to a service's targets."""
-        self._rates.setdefault(service, _DecayingRate(now)).record(now)
+        self._rates.setdefault(service, DecayingRate(now)).record(now)
 
     def jitter_seconds(
         self, service: str, busy_seconds: float, hosts: int, now: float
--- a/jacinthfold/placement/target.py
+++ b/jacinthfold/placement/target.py
@@ -5,6 +5,7 @@
 from jacinthfold import logs
 from jacinthfold.catalogue.model import TargetRecord
 from jacinthfold.placement import limits
+from jacinthfold.placement.concurrency_limit import ConcurrencyLimit
 from jacinthfold.placement.prefix_cache import CachedPrefixes
 from jacinthfold.placement.pushback import Pushback
 from jacinthfold.request.messages import PromptPrefix
@@ -56,6 +57,7 @@
         '_record_expires_at',
         '_actual_seconds',
         'cold_until',
+        'concurrency_limit',
         'ejected_until',
         'failing_share',
         'failures',
@@ -94,6 +96,7 @@
         self._record_expires_at: float | None = None
         self.is_removed = False
         self.pushback = pushback or Pushback(record.instance)
+        self.concurrency_limit = ConcurrencyLimit(record.instance)
         self.cached_prefixes = CachedPrefixes()
         # Moving averages of the actual and the expected time of answers.
         self._actual_seconds = SPEED_START_SECONDS
--- a/jacinthfold/placement/usable.py
+++ b/jacinthfold/placement/usable.py
@@ -2,15 +2,22 @@
 
 from collections.abc import Collection
 
+from jacinthfold.clock import Clock
 from jacinthfold.placement.decision import Reject
 from jacinthfold.placement.limit_shares import LimitShares
 from jacinthfold.placement.pace import ColdTargetPacer
+from jacinthfold.placement.place_shares import (
+    PlaceShares,
+    report_age_seconds,
+    useful_places,
+)
 from jacinthfold.placement.retry_schedule import (
     MAX_RETRY_AFTER_SECONDS,
     RetrySchedule,
 )
 from jacinthfold.placement.target import Target
 from jacinthfold.placement.targets import TargetTable
+from jacinthfold.request.messages import Request
 
 # Retry time when no target is usable: cold targets accept the next request
 # after 0.3 s.
@@ -22,10 +29,12 @@
 
     __slots__ = (
         '_limit_shares',
+        '_objectives',
         '_pace',
         '_region',
         '_retry_schedule',
         '_targets',
+        'place_shares',
     )
 
     def __init__(
@@ -34,14 +43,21 @@
         targets: TargetTable,
         pace: ColdTargetPacer,
         limit_shares: LimitShares,
-        retry_schedule: RetrySchedule,
+        clock: Clock,
+        *,
+        has_places: bool = False,
     ) -> None:
         """Use the targets and the limiters of requests to them."""
         self._region = region
         self._targets = targets
         self._pace = pace
         self._limit_shares = limit_shares
-        self._retry_schedule = retry_schedule
+        self._retry_schedule = RetrySchedule(clock)
+        # Latency objective of the latest call, by plain service.
+        self._objectives: dict[str, float] = {}
+        self.place_shares = PlaceShares(
+            pace.ranks, clock, is_enabled=has_places
+        )
 
     def find(
         self,
@@ -50,31 +66,26 @@
         now: float,
         *,
         is_urgent: bool,
+        objective_seconds: float | None = None,
     ) -> list[Target]:
         """Return a service's usable targets of the best available state.
 
-        Healthy targets come first, then ejected ones, then leaving ones.
+        Healthy targets come first, then ejected ones, then leaving ones. Plain
+        targets without a free place for this host are left out.
         """
-        candidates = [
-            target
-            for target in self._targets.of(service, self._region)
-            if target.record.data_centre not in self._targets.evacuated
-            and target.record.instance not in tried
-            # Nothing listens there, so that the target looks idle and would
-            # attract requests that another region could serve.
-            and target.unreachable_until <= now
-            and self._allows_cold(target, now)
-            and self._is_admitted(target, now, is_urgent=is_urgent)
-        ]
-        staying = [one for one in candidates if one.last_resort_until is None]
-        healthy = [one for one in staying if one.ejected_until <= now]
-        if healthy:
-            return healthy
-        return staying or [
-            one
-            for one in candidates
-            if one.last_resort_until is not None and one.last_resort_until > now
-        ]
+        found = self._find_admitted(service, tried, now, is_urgent=is_urgent)
+        if not self.has_places(service):
+            return found
+        if objective_seconds is not None:
+            self._objectives[service] = objective_seconds
+        objective = self._objective_seconds(service)
+        return self.place_shares.select(found, objective, now)
+
+    def has_places(self, service: str) -> bool:
+        """Tell whether the places of a service's targets are shared."""
+        if not self.place_shares.is_enabled:
+            return False
+        return not self._targets.service(service).is_engine
 
     def record_sent(self, target: Target, now: float) -> bool:
         """Count a request that is sent; tell whether a limit counts it."""
@@ -83,6 +94,32 @@
         target.pushback.backoff.record_sent(now)
         return self._limit_shares.record_sent(target, now)
 
+    def no_place_rejection(
+        self, request: Request, tried: Collection[str], now: float
+    ) -> Reject | None:
+        """Return a rejection if only places are missing, else None."""
+        service = request.service_name
+        if not self.has_places(service):
+            return None
+        full = self._find_admitted(
+            service, tried, now, is_urgent=request.is_urgent
+        )
+        if not full:
+            return None
+        objective = self._objective_seconds(service)
+        per_second = sum(
+            self.place_shares.turnover_per_second(target, objective, now)
+            for target in full
+        )
+        if request.retry_at <= now:
+            # A request that is placed repeatedly takes one time only.
+            request.retry_at = now + self._retry_schedule.after_seconds(
+                service, per_second
+            )
+        rejection = Reject('no_place', request.retry_at - now)
+        rejection.inputs = _place_inputs(full, objective, per_second, now)
+        return rejection
+
     def no_target_rejection(self, service: str, now: float) -> Reject:
         """Return a rejection with the reason why no target is usable."""
         pushbacks = [
@@ -105,6 +142,38 @@
             return Reject('targets_rest', after_seconds)
         return Reject('no_target', NO_TARGET_SECONDS)
 
+    def _objective_seconds(self, service: str) -> float:
+        return self._objectives.get(service, float('inf'))
+
+    def _find_admitted(
+        self,
+        service: str,
+        tried: Collection[str],
+        now: float,
+        *,
+        is_urgent: bool,
+    ) -> list[Target]:
+        candidates = [
+            target
+            for target in self._targets.of(service, self._region)
+            if target.record.data_centre not in self._targets.evacuated
+            and target.record.instance not in tried
+            # Nothing listens there, so that the target looks idle and would
+            # attract requests that another region could serve.
+            and target.unreachable_until <= now
+            and self._allows_cold(target, now)
+            and self._is_admitted(target, now, is_urgent=is_urgent)
+        ]
+        staying = [one for one in candidates if one.last_resort_until is None]
+        healthy = [one for one in staying if one.ejected_until <= now]
+        if healthy:
+            return healthy
+        return staying or [
+            one
+            for one in candidates
+            if one.last_resort_until is not None and one.last_resort_until > now
+        ]
+
     def _is_admitted(
         self, target: Target, now: float, *, is_urgent: bool
     ) -> bool:
@@ -120,3 +189,21 @@
         if service.cold_requests_per_second <= 0:
             return True
         return self._pace.allows(target, service.cold_requests_per_second, now)
+
+
+def _place_inputs(
+    targets: list[Target],
+    objective_seconds: float,
+    per_second: float,
+    now: float,
+) -> dict[str, float]:
+    return {
+        'targets': len(targets),
+        'places': sum(useful_places(one, objective_seconds) for one in targets),
+        'own_in_flight': sum(one.own.requests for one in targets),
+        'in_flight': sum(one.load(now).requests for one in targets),
+        'report_age_seconds': max(
+            report_age_seconds(one, now) for one in targets
+        ),
+        'places_per_second': per_second,
+    }
--- a/jacinthfold/proxy/attempts.py
+++ b/jacinthfold/proxy/attempts.py
@@ -75,6 +75,9 @@
         self._crash_detector = crash_detector
         self._clock = clock
         self._random = random.Random()
+        # Called when a request has ended at a target, however it ended: its
+        # place is free again.
+        self.on_place_freed: Callable[[Target], None] | None = None
 
     async def send_to_target(
         self,
@@ -105,6 +108,8 @@
         delivery.on_activity = partial(attempt.record_activity, self._clock)
         began_at = self._clock.monotonic()
         load = in_flight_load.InFlightLoad(estimate, request)
+        if self.on_place_freed is not None:
+            load.on_released = self.on_place_freed
         delivery.on_first_event = load.record_prefilled
         delivery.target_rejection = lambda: target.rejection_reason(
             self._clock.monotonic(), is_counted=estimate.is_counted
@@ -287,6 +292,8 @@
         estimate: Estimate,
     ) -> None:
         now = self._clock.monotonic()
+        if in_flight_load.learn_places(estimate, outcome, now):
+            self._metrics.full_answers.labels(target.record.service).inc()
         if outcome.ending is Ending.DELIVERED:
             first_at = delivery.first_event_at or now
             seconds = first_at - began_at
@@ -297,8 +304,9 @@
                 self._update_latency_model(estimate, seconds, now)
                 self._record_hold_time(estimate, now - first_at)
             else:
+                in_slot_seconds = in_flight_load.call_seconds(estimate, seconds)
                 target.seconds_per_call += 0.1 * (
-                    seconds - target.seconds_per_call
+                    in_slot_seconds - target.seconds_per_call
                 )
             return
         if outcome.is_rejected_locally or outcome.is_pushback:
--- a/jacinthfold/proxy/forwarding.py
+++ b/jacinthfold/proxy/forwarding.py
@@ -99,6 +99,8 @@
         )
         if isinstance(choice, Reject):
             request_log.log_placement_rejection(request, choice)
+            if choice.reason == 'no_place':
+                self._metrics.no_place.labels(request.service_name).inc()
             progress.record_placement_rejection(choice)
             return False
         if not self._may_send(request, progress):
--- a/jacinthfold/proxy/metrics.py
+++ b/jacinthfold/proxy/metrics.py
@@ -46,6 +46,18 @@
             buckets=SECONDS_BUCKETS,
             registry=self.registry,
         )
+        self.full_answers = Counter(
+            'jacinthfold_gateway_target_full_total',
+            'Answers of targets that say that they are full, by service',
+            ('service',),
+            registry=self.registry,
+        )
+        self.no_place = Counter(
+            'jacinthfold_gateway_requests_without_place_total',
+            'Requests rejected since this host had no free place at a target',
+            ('service',),
+            registry=self.registry,
+        )
         self.quarantined = Counter(
             'jacinthfold_gateway_requests_quarantined_total',
             'Requests refused because targets ended under them',
--- a/jacinthfold/proxy/request_log.py
+++ b/jacinthfold/proxy/request_log.py
@@ -49,6 +49,7 @@
         expected_seconds=here.seconds if here else None,
         region=elsewhere.name if elsewhere else '',
         region_seconds=elsewhere.seconds if elsewhere else None,
+        **rejection.inputs,
     )
 
 
--- a/jacinthfold/request/messages.py
+++ b/jacinthfold/request/messages.py
@@ -107,11 +107,13 @@
         'facts',
         'headers',
         'has_permit',
+        'is_demand_counted',
         'is_relayed',
         'method',
         'organisation',
         'path',
         'received_at',
+        'retry_at',
         'route',
         'service_name',
         'target',
@@ -144,6 +146,11 @@
         self.is_relayed = False
         # Whether the relaying host has a permit for its one run.
         self.has_permit = False
+        # Whether it was counted in the demand for places, however often it is
+        # placed.
+        self.is_demand_counted = False
+        # When its caller is to retry for a place; 0 if it got no such time.
+        self.retry_at = 0.0
 
     @property
     def priority(self) -> int:
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -30,7 +30,7 @@
 class Scene:
     """Set up the placement of one host, with a clock that the test advances."""
 
-    def __init__(self, host='a', clock=None, region='north'):
+    def __init__(self, host='a', clock=None, region='north', overload=None):
         self.clock = clock or FakeClock()
         self.targets = TargetTable(REGIONS, self.clock)
         engine = Service('model')
@@ -49,6 +49,7 @@
             self.regions,
             self.clock,
             random.Random(1),
+            overload,
         )
 
     def add(self, instance, service='model', data_centre='n-1', **fields):
