--- a/jacinthfold/placement/target.py
+++ b/jacinthfold/placement/target.py
@@ -6,6 +6,7 @@
 from jacinthfold.catalogue.model import TargetRecord
 from jacinthfold.catalogue.origin import ChangeOrigin
 from jacinthfold.placement import limits
+from jacinthfold.placement.concurrency_limit import ConcurrencyLimit
 from jacinthfold.placement.prefix_cache import CachedPrefixes
 from jacinthfold.placement.pushback import Pushback
 from jacinthfold.request.messages import PromptPrefix, ResponseHead
@@ -61,6 +62,7 @@
         '_record_expires_at',
         '_actual_seconds',
         'cold_until',
+        'concurrency_limit',
         'ejected_until',
         'failing_share',
         'failures',
@@ -113,6 +115,7 @@
         self.leaving_origin: ChangeOrigin | None = None
         self.leaving_heard_at = float('-inf')
         self.pushback = pushback or Pushback(record.instance)
+        self.concurrency_limit = ConcurrencyLimit(record.instance)
         self.cached_prefixes = CachedPrefixes()
         # Moving averages of the actual and the expected time of answers.
         self._actual_seconds = SPEED_START_SECONDS
--- a/jacinthfold/proxy/forwarding.py
+++ b/jacinthfold/proxy/forwarding.py
@@ -101,6 +101,8 @@
         )
         if isinstance(choice, Reject):
             self._rejection_lines.log(request, choice)
+            if choice.reason == 'no_place':
+                self._metrics.no_place.labels(request.service_name).inc()
             progress.record_placement_rejection(choice)
             return False
         if not self._may_send(request, progress):
--- a/jacinthfold/proxy/request_log.py
+++ b/jacinthfold/proxy/request_log.py
@@ -51,6 +51,7 @@
         lag_seconds=here.lag_seconds if here else None,
         region=elsewhere.name if elsewhere else '',
         region_seconds=elsewhere.seconds if elsewhere else None,
+        **rejection.inputs,
     )
 
 
--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -18,6 +18,7 @@
 from tools.ablations.leaving import LEAVING, PEER_INPUT
 from tools.ablations.model import Ablation
 from tools.ablations.organisations import ORGANISATIONS
+from tools.ablations.places import PLACES
 from tools.ablations.quarantine import QUARANTINE
 from tools.ablations.serve import SERVE
 
@@ -33,6 +34,7 @@
     *LARGE_FLEETS,
     *QUARANTINE,
     *ORGANISATIONS,
+    *PLACES,
 ]
 
 
