Let requests wait at their host for capacity, off by default

Cause: a request that no target can take at this moment is rejected although one may take it within its latency objective (docs/OVERLOAD.md, part 4).

Change: proxy/admitted_placement.py holds admission and choice, which were in forwarding.py; a request that it can't place, and that has not run, waits in proxy/waiting.py. Turns start when an attempt of the service ends and every 50 ms; in its turn a request is admitted and placed again. Its permit is returned meanwhile. On SIGTERM waits end with the grace period. Rejected callers are told a time from the rate of placements. With 0 (GatewayNode's default until the settings have a section) no request waits and no retry time changes. Log events request_waits and request_waited, three metrics.

Tests: test_waiting (6, real processes), test_waiting_driver (10), test_waiting_queue, test_explain, test_placement, test_permit_order, test_life, test_requests, test_streams pass.

--- a/jacinthfold/gateway/drain.py
+++ b/jacinthfold/gateway/drain.py
@@ -54,3 +54,16 @@
                 longest_seconds, output_seconds + SECONDS_BEFORE_OUTPUT
             )
         return now + longest_seconds < self.ends_at
+
+    def may_start(self, request: Request) -> bool:
+        """Return whether a request that waited here can still be served."""
+        # It was accepted before its caller could know of the stop, so that the
+        # time it is expected to take counts, and not the longest one.
+        if self._started_at is None:
+            return True
+        now = self._clock.monotonic()
+        seconds = (
+            request.facts.output_tokens * SECONDS_PER_OUTPUT_TOKEN
+            + SECONDS_BEFORE_OUTPUT
+        )
+        return now + min(seconds, request.deadline - now) < self.ends_at
--- a/jacinthfold/gateway/node.py
+++ b/jacinthfold/gateway/node.py
@@ -45,6 +45,9 @@
 class GatewayNode:
     """Hold all components of one entry host."""
 
+    # Requests that may wait for capacity; 0: none waits.
+    waiting_requests = 0
+
     def __init__(
         self,
         settings: GatewaySettings,
@@ -102,6 +105,9 @@
             self.metrics,
             self._clock,
         )
+        self._waiting = forwarder.placement.waiting
+        self._waiting.set_limit(self.waiting_requests)
+        self._waiting.may_start = self._drain.may_start
         caller_handler = request_handlers.CallerHandler(
             view.catalogue,
             view.organisations.key_gate,
@@ -212,6 +218,7 @@
     async def _stop(self) -> None:
         view, grace = self._view, self.settings.stop.grace_seconds
         self._drain.begin(grace)
+        self._waiting.begin_drain(self._drain.ends_at)
         logs.event(
             'host_leaving',
             in_flight=self._in_flight_count(),
--- a/jacinthfold/placement/choice.py
+++ b/jacinthfold/placement/choice.py
@@ -13,10 +13,11 @@
 from jacinthfold.placement.pace import ColdTargetPacer
 from jacinthfold.placement.preferred_regions import PreferredRegions
 from jacinthfold.placement.regions import RegionView, RemoteRegion
+from jacinthfold.placement.request_classes import RequestClassifier
 from jacinthfold.placement.retry_schedule import RetrySchedule
 from jacinthfold.placement.target import Target
 from jacinthfold.placement.targets import TargetTable
-from jacinthfold.placement.usable import UsableTargets
+from jacinthfold.placement.usable import NO_TARGET_SECONDS, UsableTargets
 from jacinthfold.request.messages import Request
 
 # Added at random to the retry time, so that callers that were rejected
@@ -50,6 +51,7 @@
         self._affinity = Affinity()
         self._preferred_regions = PreferredRegions(targets)
         self._estimator = Estimator(targets)
+        self.classifier = RequestClassifier(region, targets)
         self._jitter = LoadJitter()
         self.limit_shares = LimitShares(pace.ranks.own_name, clock)
         self._usable = UsableTargets(
@@ -61,8 +63,13 @@
         request: Request,
         tried: Collection[str] = (),
         tried_regions: Collection[str] = (),
+        *,
+        is_waiting: bool = False,
     ) -> Choice:
-        """Return the target or region for a request, or a rejection."""
+        """Return the target or region for a request, or a rejection.
+
+        A request that waits takes no retry time with its rejection.
+        """
         best = self._best_local(request, tried)
         is_retry = bool(tried or tried_regions)
         allowed = self._latency_budget_seconds(request, is_retry=is_retry)
@@ -76,6 +83,8 @@
             return SendTo(best)
         if remote is not None and remote.seconds <= allowed:
             return RelayTo(remote)
+        if is_waiting and best is None and remote is None:
+            return Reject('no_target', NO_TARGET_SECONDS)
         return self._choose_when_late(request, best, remote)
 
     def record_sent(self, choice: SendTo, request: Request) -> None:
--- a/jacinthfold/placement/decision.py
+++ b/jacinthfold/placement/decision.py
@@ -27,7 +27,13 @@
 class Reject:
     """Reject the request, since it can't be served in time."""
 
-    __slots__ = ('after_seconds', 'remote_region', 'local_estimate', 'reason')
+    __slots__ = (
+        'after_seconds',
+        'is_past_deadline',
+        'local_estimate',
+        'reason',
+        'remote_region',
+    )
 
     def __init__(
         self,
@@ -39,6 +45,9 @@
         """Set the reason, the retry time and the estimates behind them."""
         self.reason = reason
         self.after_seconds = after_seconds
+        # Whether the caller is told a time past its deadline, since no earlier
+        # return would be served.
+        self.is_past_deadline = False
         self.local_estimate = local_estimate
         self.remote_region = remote_region
 
--- a/jacinthfold/placement/retry_schedule.py
+++ b/jacinthfold/placement/retry_schedule.py
@@ -83,7 +83,7 @@
         # Half an interval on average, so that returns don't arrive in step.
         next_at += self._random.uniform(0.5, 1.5) / per_second
         seconds = next_at - now
-        if seconds >= remaining_seconds:
+        if ahead_seconds >= remaining_seconds:
             # Not reserved: the caller will not come.
             spread = self._random.uniform(0, BOUND_SPREAD_SHARE)
             return ReturnTime(
--- a/jacinthfold/placement/waiting_queue.py
+++ b/jacinthfold/placement/waiting_queue.py
@@ -46,6 +46,18 @@
         """Return the hash of all parts."""
         return hash(self._key)
 
+    def blocks(self, other: 'RequestClass') -> bool:
+        """Tell whether requests that can't be placed keep others back.
+
+        They keep back their own class and lower priorities, which would take
+        the capacity that they wait for.
+        """
+        if self.homes != other.homes:
+            return False
+        if self.priority == other.priority:
+            return self.size is other.size
+        return self.priority < other.priority
+
     @property
     def _key(self) -> tuple[int, Size, frozenset[str]]:
         return (self.priority, self.size, self.homes)
@@ -158,20 +170,6 @@
         """Return how many requests of a class wait."""
         return len(self._classes.get(request_class, ()))
 
-    def is_behind(self, request_class: RequestClass, now: float) -> bool:
-        """Tell whether requests wait that a new one must not overtake."""
-        # Placed at once, new requests would take all capacity: they need less
-        # haste than those whose objective has partly passed.
-        return any(
-            other.priority <= request_class.priority
-            and other.homes == request_class.homes
-            and (
-                other.size is request_class.size
-                or entries[0][-1].overdue_at <= now
-            )
-            for other, entries in self._classes.items()
-        )
-
     def add(self, request: WaitingRequest, now: float) -> bool:
         """Add a request; return False when a bound of the host is reached."""
         if not self._bounds.has_capacity(request.size_bytes):
@@ -205,8 +203,8 @@
         heads = [
             entries[0][-1]
             for request_class, entries in self._classes.items()
-            if request_class not in self._blocked
-            and request_class not in self._tried
+            if request_class not in self._tried
+            and not any(one.blocks(request_class) for one in self._blocked)
         ]
         head = min(heads, key=lambda one: one.turn_key(now), default=None)
         if head is not None:
--- a/jacinthfold/proxy/admission.py
+++ b/jacinthfold/proxy/admission.py
@@ -106,6 +106,7 @@
         """Release a permit that no run used."""
         if not progress.is_in_flight:
             self._permits.refund(progress.permit)
+            progress.permit = None
 
     def _rejection_reason(self, request: Request) -> str:
         rejection = self.gate.rejection(request)
--- a/jacinthfold/proxy/forwarding.py
+++ b/jacinthfold/proxy/forwarding.py
@@ -11,6 +11,10 @@
 from jacinthfold.placement.decision import Choice, Reject, RelayTo, SendTo
 from jacinthfold.proxy import request_log
 from jacinthfold.proxy.admission import Admission
+from jacinthfold.proxy.admitted_placement import (
+    MAX_NOT_RUN_SENDS,
+    AdmittedPlacement,
+)
 from jacinthfold.proxy.attempts import Attempts
 from jacinthfold.proxy.caller_response import CallerResponse
 from jacinthfold.proxy.metrics import ProxyMetrics
@@ -22,6 +26,7 @@
     outcome_header,
     quarantined_header,
 )
+from jacinthfold.proxy.waiting import Waiting
 from jacinthfold.quarantine.quarantine import Quarantine
 from jacinthfold.request.messages import Headers, Request
 from jacinthfold.transport.dialect import Dialect
@@ -32,8 +37,6 @@
     b'error: not run: targets ended under this request again and again; '
     b'it is refused until the time given to come back\n'
 )
-# Sends of one request that may end as not run before the request is rejected.
-MAX_NOT_RUN_SENDS = 3
 
 
 class Forwarder:
@@ -52,6 +55,9 @@
     ) -> None:
         """Store what places, sends, limits and admits requests."""
         self._placer = placer
+        self.placement = AdmittedPlacement(
+            placer, admission, Waiting(placer.classifier, metrics, clock)
+        )
         self._attempts = attempts
         self._budgets = budgets
         self._quarantine = quarantine
@@ -87,16 +93,9 @@
         self, request: Request, response: CallerResponse, progress: Progress
     ) -> bool:
         """Admit, place and send once; return whether to attempt again."""
-        if self._admission.is_rejected(request, progress):
-            return False
-        # The permit comes before the choice: while one request waited for its
-        # permit, others would choose the same cold target, each as if it were
-        # the first to be sent there.
-        if not await self._admission.is_permitted(request, progress):
+        choice = await self.placement.choose(request, progress)
+        if choice is None:
             return False
-        choice = self._placer.choose(
-            request, progress.tried, progress.tried_regions
-        )
         if isinstance(choice, Reject):
             request_log.log_placement_rejection(request, choice)
             progress.record_placement_rejection(choice)
@@ -114,7 +113,10 @@
     ) -> bool:
         """Make one attempt; return whether another one may follow."""
         request_log.log_choice(request, choice, progress)
-        outcome = await self._attempt(request, response, progress, choice)
+        try:
+            outcome = await self._attempt(request, response, progress, choice)
+        finally:
+            self.placement.record_end(request)
         progress.record_attempt(choice, outcome)
         if outcome.ending is Ending.DELIVERED:
             self._record_served(request, response)
@@ -214,6 +216,8 @@
             progress.after_seconds,
             max(0.05, remaining_seconds * RETRY_AFTER_SHARE),
         )
+        if progress.is_past_deadline:
+            retry_after_seconds = progress.after_seconds
         status = progress.refusal_status
         headers = list(base_headers)
         if status is not HTTPStatus.UNAUTHORIZED:
--- a/jacinthfold/proxy/metrics.py
+++ b/jacinthfold/proxy/metrics.py
@@ -58,6 +58,25 @@
             ['reason'],
             registry=self.registry,
         )
+        self.waiting = Gauge(
+            'jacinthfold_gateway_requests_waiting',
+            'Requests that wait at this host for capacity',
+            ['service', 'priority'],
+            registry=self.registry,
+        )
+        self.waited_seconds = Histogram(
+            'jacinthfold_gateway_waited_seconds',
+            'Time that requests waited for capacity, by how the wait ended',
+            ['service', 'ending'],
+            buckets=SECONDS_BUCKETS,
+            registry=self.registry,
+        )
+        self.wait_refusals = Counter(
+            'jacinthfold_gateway_wait_refusals_total',
+            'Requests that could not wait for capacity, by reason',
+            ['service', 'reason'],
+            registry=self.registry,
+        )
         self.key_age = Gauge(
             'jacinthfold_gateway_knowledge_age_seconds',
             'How old the knowledge of keys may be',
--- a/jacinthfold/proxy/progress.py
+++ b/jacinthfold/proxy/progress.py
@@ -23,6 +23,7 @@
         'failed_outcome',
         'first_event_seconds',
         'is_in_flight',
+        'is_past_deadline',
         'last_event_id',
         'last_destination',
         'permit',
@@ -33,6 +34,7 @@
         'tried',
         'tried_regions',
         'not_run_count',
+        'waited_seconds',
     )
 
     def __init__(self, request: Request) -> None:
@@ -52,6 +54,10 @@
         self.ending: Ending | None = None
         self.failed_outcome: Outcome | None = None
         self.after_seconds = DEFAULT_RETRY_AFTER_SECONDS
+        # Whether that time is past the deadline on purpose.
+        self.is_past_deadline = False
+        # How long the request has waited at this host for capacity.
+        self.waited_seconds = 0.0
         # Status of the response if the request has not run.
         self.refusal_status = HTTPStatus.SERVICE_UNAVAILABLE
         # Returns why the request may not be sent now, or ''.
@@ -68,6 +74,7 @@
         """Record that no target or region could be chosen."""
         self.reason = self.reason or rejection.reason
         self.after_seconds = rejection.after_seconds
+        self.is_past_deadline = rejection.is_past_deadline
 
     def record_admission_rejection(
         self, reason: str, status: HTTPStatus, after_seconds: float
--- a/tests/gateway/test_explain.py
+++ b/tests/gateway/test_explain.py
@@ -55,3 +55,15 @@
     env = Environment(stdin=io.StringIO(''), stdout=io.StringIO(), stderr=err)
     assert main(['explain', 'r9'], env) is ExitStatus.ERROR
     assert err.getvalue().startswith('error: no line about r9')
+
+
+def test_timeline_shows_how_long_a_request_waited():
+    waited = [
+        line('10:00:01', 'request_waits', request='r3', ahead=4),
+        line('10:00:02', 'request_waited', request='r3', ending='placed'),
+    ]
+    selected = request_timeline([*LINES, *waited], 'r3')
+    assert [one.split()[2] for one in selected] == [
+        'event=request_waits',
+        'event=request_waited',
+    ]
