--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -19,6 +19,7 @@
 from tools.ablations.organisations import ORGANISATIONS
 from tools.ablations.quarantine import QUARANTINE
 from tools.ablations.serve import SERVE
+from tools.ablations.waiting import WAITING
 
 ROOT = Path(__file__).resolve().parent.parent
 COPIED = ('jacinthfold', 'tests', 'tools', 'pyproject.toml', 'KNOWN-RED.txt')
@@ -30,6 +31,7 @@
     *LARGE_FLEETS,
     *QUARANTINE,
     *ORGANISATIONS,
+    *WAITING,
 ]
 
 
