Bound the schedule of returns to what callers honour

Cause: the schedule reserved times without a bound while callers were rejected faster than they can be placed, and so stayed full long after a burst.

Change: a reservation reaches no further than the longest time told.

--- a/jacinthfold/placement/retry_schedule.py
+++ b/jacinthfold/placement/retry_schedule.py
@@ -90,14 +90,11 @@
                 max(self._min_seconds, remaining_seconds) * (1 + spread),
                 is_past_deadline=True,
             )
-        self._next_at[request_class] = next_at
-        return ReturnTime(
-            self._bounded(seconds, remaining_seconds), is_past_deadline=False
-        )
-
-    def _bounded(self, seconds: float, remaining_seconds: float) -> float:
-        longest = remaining_seconds * HONOURED_SHARE
-        if seconds <= longest:
-            return seconds
-        spread = self._random.uniform(0, BOUND_SPREAD_SHARE)
-        return max(self._min_seconds, longest * (1 - spread))
+        longest = max(self._min_seconds, remaining_seconds * HONOURED_SHARE)
+        # The caller returns by then in any case. Reserved further ahead, the
+        # schedule would stay full for as long after a burst.
+        self._next_at[request_class] = min(next_at, now + longest)
+        if seconds > longest:
+            spread = self._random.uniform(0, BOUND_SPREAD_SHARE)
+            seconds = max(self._min_seconds, longest * (1 - spread))
+        return ReturnTime(seconds, is_past_deadline=False)
--- a/tools/ablations/waiting.py
+++ b/tools/ablations/waiting.py
@@ -124,7 +124,7 @@
         [
             (
                 'placement/retry_schedule.py',
-                '        self._next_at[request_class] = next_at\n',
+                '        self._next_at[request_class] = min(next_at, now + longest)\n',
                 '',
             ),
         ],
