--- a/jacinthfold/gateway/node.py
+++ b/jacinthfold/gateway/node.py
@@ -93,6 +93,9 @@
             self.metrics,
             self._clock,
         )
+        self._waiting = forwarder.placement.waiting
+        self._waiting.set_limit(self.settings.overload.waiting_requests)
+        self._waiting.may_start = self._drain.may_start
         caller_handler = request_handlers.CallerHandler(
             view.catalogue,
             view.organisations.key_gate,
@@ -214,11 +217,13 @@
             return
         self.settings = settings
         self._view.apply_settings(settings)
+        self._waiting.set_limit(settings.overload.waiting_requests)
         logs.event('settings_reloaded', path=str(self._settings_path))
 
     async def _stop(self) -> None:
         view, grace = self._view, self.settings.stop.grace_seconds
         self._drain.begin(grace)
+        self._waiting.begin_drain(self._drain.ends_at)
         logs.event(
             'host_leaving',
             in_flight=self._in_flight_count(),
--- a/jacinthfold/placement/choice.py
+++ b/jacinthfold/placement/choice.py
@@ -17,9 +17,10 @@
 from jacinthfold.placement.pace import ColdTargetPacer
 from jacinthfold.placement.preferred_regions import PreferredRegions
 from jacinthfold.placement.regions import RegionView, RemoteRegion
+from jacinthfold.placement.request_classes import RequestClassifier
 from jacinthfold.placement.target import Target
 from jacinthfold.placement.targets import TargetTable
-from jacinthfold.placement.usable import UsableTargets
+from jacinthfold.placement.usable import NO_TARGET_SECONDS, UsableTargets
 from jacinthfold.request.messages import Request
 
 # Added at random to the retry time, so that callers that were rejected
@@ -64,6 +65,7 @@
         self._affinity = Affinity()
         self._preferred_regions = PreferredRegions(targets)
         self._estimator = Estimator(targets)
+        self.classifier = RequestClassifier(region, targets)
         self._jitter = LoadJitter()
         self._answer_lag = AnswerLag(clock)
         # Receives each change of the lag of a service's answers.
@@ -87,12 +89,22 @@
         request: Request,
         tried: Collection[str] = (),
         tried_regions: Collection[str] = (),
+        *,
+        is_waiting: bool = False,
     ) -> Choice:
-        """Return the target or region for a request, or a rejection."""
+        """Return the target or region for a request, or a rejection.
+
+        A request that waits takes no retry time with its rejection.
+        """
         if tried or tried_regions:
             best = self._best_local(request, tried)
             return self._choose_in_time(
-                request, best, tried, tried_regions, is_retry=True
+                request,
+                best,
+                tried,
+                tried_regions,
+                is_retry=True,
+                is_waiting=is_waiting,
             )
         rejection = self._reject_early(request)
         if rejection is not None:
@@ -103,7 +115,9 @@
         preferred = self._preferred_remote(request, best)
         if preferred is not None:
             return RelayTo(preferred)
-        return self._choose_in_time(request, best, (), (), is_retry=False)
+        return self._choose_in_time(
+            request, best, (), (), is_retry=False, is_waiting=is_waiting
+        )
 
     def record_sent(self, choice: SendTo, request: Request) -> None:
         """Count a request that is sent to a target."""
@@ -166,6 +180,7 @@
         tried_regions: Collection[str],
         *,
         is_retry: bool,
+        is_waiting: bool = False,
     ) -> Choice:
         allowed = self._latency_budget_seconds(request, is_retry=is_retry)
         remote = self._best_remote(request, tried_regions)
@@ -175,6 +190,8 @@
             return SendTo(best)
         if remote is not None and remote.seconds <= allowed:
             return RelayTo(remote)
+        if is_waiting and best is None and remote is None:
+            return Reject('no_target', NO_TARGET_SECONDS)
         choice = self._choose_when_late(request, best, remote)
         if best is None and isinstance(choice, Reject):
             return self._no_place_rejection(request, tried, remote) or choice
--- a/jacinthfold/placement/decision.py
+++ b/jacinthfold/placement/decision.py
@@ -30,6 +30,7 @@
     __slots__ = (
         'after_seconds',
         'inputs',
+        'is_past_deadline',
         'local_estimate',
         'reason',
         'remote_region',
@@ -45,6 +46,9 @@
         """Set the reason, the retry time and the estimates behind them."""
         self.reason = reason
         self.after_seconds = after_seconds
+        # Whether the caller is told a time past its deadline, since no earlier
+        # return would be served.
+        self.is_past_deadline = False
         self.local_estimate = local_estimate
         self.remote_region = remote_region
         # What the decision was made from, for the log.
--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -21,6 +21,7 @@
 from tools.ablations.places import PLACES
 from tools.ablations.quarantine import QUARANTINE
 from tools.ablations.serve import SERVE
+from tools.ablations.waiting import WAITING
 
 ROOT = Path(__file__).resolve().parent.parent
 COPIED = ('jacinthfold', 'tests', 'tools', 'pyproject.toml', 'KNOWN-RED.txt')
@@ -35,6 +36,7 @@
     *QUARANTINE,
     *ORGANISATIONS,
     *PLACES,
+    *WAITING,
 ]
 
 
