--- a/jacinthfold/placement/choice.py
+++ b/jacinthfold/placement/choice.py
@@ -11,6 +11,7 @@
 from jacinthfold.placement.decision import Choice, Reject, RelayTo, SendTo
 from jacinthfold.placement.estimates import Estimate, Estimator
 from jacinthfold.placement.jitter import LoadJitter
+from jacinthfold.placement.late_placement import LatePlacement
 from jacinthfold.placement.least_waits import LeastWaits
 from jacinthfold.placement.limit_shares import LimitShares
 from jacinthfold.placement.overload_options import OverloadOptions
@@ -23,14 +24,6 @@
 from jacinthfold.placement.usable import NO_TARGET_SECONDS, UsableTargets
 from jacinthfold.request.messages import Request
 
-# Added at random to the retry time, so that callers that were rejected
-# together don't retry together.
-RETRY_SPREAD_SECONDS = 0.8
-MIN_RETRY_AFTER_SECONDS = 0.1
-# Calls to plain services are short: a call is accepted if it is expected within
-# this many latency objectives, since a late answer is worth more than none.
-PLAIN_LATE_FACTOR = 4
-
 
 class LagListener(Protocol):
     """Receive by how much the answers of a service come late."""
@@ -82,6 +75,9 @@
         self._least_waits = LeastWaits(
             region, targets, self._usable, self._estimator
         )
+        self._late = LatePlacement(
+            region, targets, self._usable, self._least_waits, clock, source
+        )
         self.place_shares = self._usable.place_shares
 
     def choose(
@@ -192,9 +188,11 @@
             return RelayTo(remote)
         if is_waiting and best is None and remote is None:
             return Reject('no_target', NO_TARGET_SECONDS)
-        choice = self._choose_when_late(request, best, remote)
+        choice = self._late.choose(request, best, remote)
         if best is None and isinstance(choice, Reject):
-            return self._no_place_rejection(request, tried, remote) or choice
+            return (
+                self._late.no_place_rejection(request, tried, remote) or choice
+            )
         return choice
 
     def _reject_early(self, request: Request) -> Reject | None:
@@ -217,7 +215,7 @@
             request.facts.prefix_segments,
             self._least_waits.target_count(request),
         )
-        return self._reject_late(request, best, remote)
+        return self._late.reject(request, best, remote)
 
     def _own_lag_seconds(self, request: Request) -> float:
         return self.lag_seconds(
@@ -233,7 +231,7 @@
         """Tell whether a request may be served with an expected time."""
         return seconds <= self._latency_budget_seconds(
             request, is_retry=False
-        ) or self._is_accepted_late(request, seconds)
+        ) or self._late.is_accepted(request, seconds)
 
     def _best_local(
         self, request: Request, tried: Collection[str]
@@ -396,95 +394,6 @@
             return None
         return self._regions.best(request, tried_regions)
 
-    def _choose_when_late(
-        self,
-        request: Request,
-        best: Estimate | None,
-        remote: RemoteRegion | None,
-    ) -> Choice:
-        waits = [best.lagged_seconds] if best else []
-        if remote is not None:
-            waits.append(remote.seconds)
-        if not waits:
-            return self._reject_without_target(request)
-        least = min(waits)
-        if self._is_accepted_late(request, least):
-            return self._soonest(request, best, remote)
-        return self._reject_late(request, best, remote)
-
-    def _reject_late(
-        self,
-        request: Request,
-        best: Estimate | None,
-        remote: RemoteRegion | None,
-    ) -> Reject:
-        least = min(one.seconds for one in (best, remote) if one)
-        self._least_waits.record_late(request, self._clock.monotonic())
-        half_objective = request.route.latency_objective_seconds / 2
-        after_seconds = self._retry_after_seconds(least - half_objective)
-        return Reject('late', after_seconds, best, remote)
-
-    def _no_place_rejection(
-        self,
-        request: Request,
-        tried: Collection[str],
-        remote: RemoteRegion | None,
-    ) -> Reject | None:
-        """Return a rejection if this host has no free place, else None."""
-        if not request.allows(self._region):
-            return None
-        rejection = self._usable.no_place_rejection(
-            request, tried, self._clock.monotonic()
-        )
-        if rejection is not None:
-            # The schedule spreads the retries already.
-            rejection.remote_region = remote
-            rejection.after_seconds = max(
-                MIN_RETRY_AFTER_SECONDS, rejection.after_seconds
-            )
-        return rejection
-
-    def _reject_without_target(self, request: Request) -> Reject:
-        rejection = self._usable.no_target_rejection(
-            request.service_name, self._clock.monotonic()
-        )
-        rejection.after_seconds = self._retry_after_seconds(
-            rejection.after_seconds
-        )
-        return rejection
-
-    def _is_accepted_late(self, request: Request, seconds: float) -> bool:
-        """Tell whether to serve a request that will miss its objective."""
-        objective_seconds = request.route.latency_objective_seconds
-        if not self._targets.service(request.service_name).is_engine:
-            return seconds < objective_seconds * PLAIN_LATE_FACTOR
-        # A large prompt needs most of its latency objective for its own
-        # prefill: it is late on idle targets too, and would starve if rejected.
-        model = self._estimator.latency_model(request.service_name)
-        token_cost = model.token_cost(request.facts.prompt_tokens, 0)
-        prefill_seconds = model.prefill_seconds(token_cost)
-        is_large = prefill_seconds > objective_seconds / 2
-        return is_large and seconds - prefill_seconds < objective_seconds / 2
-
-    def _soonest(
-        self,
-        request: Request,
-        best: Estimate | None,
-        remote: RemoteRegion | None,
-    ) -> Choice:
-        if best is None and remote is not None:
-            return RelayTo(remote)
-        if best is not None and remote is not None:
-            is_local = best.lagged_seconds <= remote.seconds
-            return SendTo(best) if is_local else RelayTo(remote)
-        if best is not None:
-            return SendTo(best)
-        return self._reject_without_target(request)
-
-    def _retry_after_seconds(self, wait_seconds: float) -> float:
-        spread_seconds = self._random.uniform(0, RETRY_SPREAD_SECONDS)
-        return max(MIN_RETRY_AFTER_SECONDS, wait_seconds) + spread_seconds
-
 
 def _ignore_lag(service: str, seconds: float, *, is_urgent: bool) -> None:
     """Do nothing with the lag of answers."""
--- a/jacinthfold/proxy/waiting.py
+++ b/jacinthfold/proxy/waiting.py
@@ -7,8 +7,8 @@
 
 from jacinthfold.clock import Clock
 from jacinthfold.placement import limits
-from jacinthfold.placement.choice import MIN_RETRY_AFTER_SECONDS
 from jacinthfold.placement.decision import Choice, Reject
+from jacinthfold.placement.late_placement import MIN_RETRY_AFTER_SECONDS
 from jacinthfold.placement.placement_rates import (
     HOLD_SHARE,
     PlacementRates,
--- a/tests/gateway/overload.py
+++ b/tests/gateway/overload.py
@@ -7,8 +7,8 @@
 from http import HTTPStatus
 
 from jacinthfold.placement.budget import RetryBudgets
-from jacinthfold.placement.choice import MIN_RETRY_AFTER_SECONDS
 from jacinthfold.placement.decision import Reject
+from jacinthfold.placement.late_placement import MIN_RETRY_AFTER_SECONDS
 from jacinthfold.placement.retry_schedule import ReturnSchedule
 from jacinthfold.placement.target import Load
 from jacinthfold.proxy.admission import Admission
--- a/tools/ablations/organisations.py
+++ b/tools/ablations/organisations.py
@@ -189,14 +189,9 @@
         'caps: the permit is acquired before the target is chosen',
         [
             (
-                'proxy/forwarding.py',
-                '        if not await self._admission.is_permitted(request, progress):\n            return False\n',
-                '',
-            ),
-            (
-                'proxy/forwarding.py',
-                '        return await self._try_once(request, response, progress, choice)',
-                '        if not await self._admission.is_permitted(request, progress):\n            return False\n        return await self._try_once(request, response, progress, choice)',
+                'proxy/admitted_placement.py',
+                '        if not await self._admission.is_permitted(request, progress):\n            return None\n        return self._placer.choose(\n            request, progress.tried, progress.tried_regions\n        )\n',
+                '        choice = self._placer.choose(\n            request, progress.tried, progress.tried_regions\n        )\n        if not await self._admission.is_permitted(request, progress):\n            return None\n        return choice\n',
             ),
         ],
         ORDER
