Readmit recovered targets by a few trials that a region's hosts share

Cause: a target's share of failures fell only with its answers, and its square weighs more than any wait. A target that failed for 4 s got no requests while others answered, so it had no answers.

Change: placement/failure_rate.py decides, with the time as an argument. A 5xx passed on to the caller counted as an answer served; it is a failure now. With all targets of a region ejected, requests go to another region, and the region reports no capacity.

test_rebirth and test_suspects set or read the state through its new home; they check as much as before, and that no ejection carries over.

--- a/jacinthfold/fleet/aggregation.py
+++ b/jacinthfold/fleet/aggregation.py
@@ -7,7 +7,8 @@
 from jacinthfold.fleet.digest_message import Digest, HostSummary
 from jacinthfold.fleet.heartbeat_message import Heartbeat, LoadFigures
 from jacinthfold.fleet.table import HOST_TIMEOUT_SECONDS
-from jacinthfold.placement import limits
+from jacinthfold.placement import limits, trial_reports
+from jacinthfold.placement.failure_rate import TrialReport
 from jacinthfold.placement.latency_model import PEER_SUMS_LIFETIME_SECONDS
 from jacinthfold.placement.prefix_cache import RecentPrefixUses
 from jacinthfold.placement.request_limit import LimitReport
@@ -97,6 +98,7 @@
             loads=self._loads(now),
             uses=self._uses.by_incarnation(now),
             limits=self._limits(now),
+            trials=self._trials(now),
         )
         digest.is_full = self._count % FULL_INTERVAL_DIGESTS == 0
         if digest.is_full:
@@ -159,6 +161,14 @@
                     newest[incarnation_id] = report
         return newest
 
+    def _trials(self, now: float) -> dict[str, TrialReport]:
+        """Return the members' newest event of each target."""
+        merged: dict[str, TrialReport] = {}
+        for member in self._members.values():
+            held_ms = round((now - member.heard_at) * 1000)
+            trial_reports.merge(merged, member.heartbeat.trials, held_ms)
+        return trial_reports.newest(merged)
+
     def _latency_models(self, now: float) -> dict[str, list[float]]:
         sums: dict[str, list[float]] = {}
         for member in self._members.values():
--- a/jacinthfold/fleet/digest_message.py
+++ b/jacinthfold/fleet/digest_message.py
@@ -11,6 +11,7 @@
     inflate,
 )
 from jacinthfold.fleet.table import HostState
+from jacinthfold.placement.failure_rate import TrialReport
 from jacinthfold.placement.request_limit import LimitReport
 from jacinthfold.quarantine.crashes import SuspectReport
 
@@ -66,6 +67,9 @@
     suspects: list[SuspectReport] = []
     # Limits that targets reported to these hosts, by incarnation.
     limits: dict[str, LimitReport] = {}
+    # The newest ejection, trial or return that these hosts reported, by
+    # incarnation.
+    trials: dict[str, TrialReport] = {}
     # Freshness proof of the collector.
     proof: ProofReport | None = None
 
--- a/jacinthfold/fleet/heartbeat_builder.py
+++ b/jacinthfold/fleet/heartbeat_builder.py
@@ -12,7 +12,7 @@
     LoadFigures,
 )
 from jacinthfold.fleet.table import HostTable
-from jacinthfold.placement import limit_reports
+from jacinthfold.placement import limit_reports, trial_reports
 from jacinthfold.placement.targets import TargetTable
 from jacinthfold.quarantine.suspects import Suspects
 
@@ -55,6 +55,7 @@
             self._targets, self._clock.monotonic()
         )
         now = self._clock.monotonic()
+        heartbeat.trials = trial_reports.own_reports(self._targets, now)
         heartbeat.uses = self._targets.recent_uses.by_incarnation(now)
         heartbeat.suspects = self.suspects.reports_to_send(
             is_near=True, is_full=is_full
--- a/jacinthfold/fleet/heartbeat_message.py
+++ b/jacinthfold/fleet/heartbeat_message.py
@@ -12,6 +12,7 @@
 
 from jacinthfold.catalogue.host_codec import HostDocument
 from jacinthfold.fleet.table import HostState
+from jacinthfold.placement.failure_rate import TrialReport
 from jacinthfold.placement.request_limit import LimitReport
 from jacinthfold.quarantine.crashes import SuspectReport
 
@@ -57,6 +58,8 @@
     suspects: list[SuspectReport] = []
     # Limits that targets reported to this host, by incarnation.
     limits: dict[str, LimitReport] = {}
+    # Recent ejections, trials and returns of targets, by incarnation.
+    trials: dict[str, TrialReport] = {}
     # Freshness proof, and receipts of the last messages by sender.
     proof: ProofReport | None = None
     heard_beats: dict[str, Receipt] = {}
--- a/jacinthfold/gateway/cluster_view.py
+++ b/jacinthfold/gateway/cluster_view.py
@@ -205,7 +205,8 @@
                     'requests': target.load(now).requests,
                     'cold_seconds': max(0.0, target.cold_until - now),
                     'is_leaving': target.last_resort_until is not None,
-                    'failing_share': target.failing_share,
+                    'failing_share': target.failure_rate.share(now),
+                    'is_ejected': target.is_ejected,
                     'limit_per_second': target.pushback.limit.per_second,
                 }
                 for target in self.targets.all()
--- a/jacinthfold/gateway/node.py
+++ b/jacinthfold/gateway/node.py
@@ -69,6 +69,9 @@
             lambda: self._view.catalogue.revision
         )
         self.metrics.dropped_log_lines.set_function(logs.dropped_line_count)
+        self._view.targets.on_failure_event = lambda service, event: (
+            self.metrics.target_failure_events.labels(service, event).inc()
+        )
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT."""
--- a/jacinthfold/placement/choice.py
+++ b/jacinthfold/placement/choice.py
@@ -66,12 +66,16 @@
         best = self._best_local(request, tried)
         is_retry = bool(tried or tried_regions)
         allowed = self._latency_budget_seconds(request, is_retry=is_retry)
+        trial = None if is_retry else self._trial(request, allowed)
+        if trial is not None:
+            return SendTo(trial)
         preferred = None if is_retry else self._preferred_remote(request, best)
         if preferred is not None:
             return RelayTo(preferred)
         remote = self._best_remote(request, tried_regions)
         if best is not None and best.seconds <= allowed:
-            if self._should_relay(request, best, remote) and remote is not None:
+            is_relayed = self._should_relay(request, best, remote, allowed)
+            if is_relayed and remote is not None:
                 return RelayTo(remote)
             return SendTo(best)
         if remote is not None and remote.seconds <= allowed:
@@ -85,6 +89,8 @@
         self._jitter.record_sent(request.service_name, now)
         estimate = choice.estimate
         estimate.is_counted = self._usable.record_sent(target, now)
+        if estimate.is_trial:
+            target.record_trial(now)
         target.record_sent(request.facts.prefixes, estimate.tokens_to_prefill)
         shared = request.facts.shared_prefixes
         if shared and shared[-1].tokens >= limits.COPY_AT_LEAST_TOKENS:
@@ -101,6 +107,8 @@
             for target in self._usable.find(
                 service, (), now, is_urgent=is_urgent
             )
+            # Other regions would send requests to targets that fail.
+            if not target.is_ejected
         ]
         return min(waits, default=None)
 
@@ -131,18 +139,43 @@
                 return estimate
             estimates.append(estimate)
         jitter = self._jitter_seconds(request, estimates, now)
-        return min(estimates, key=lambda one: self._cost(one, jitter))
+        return min(estimates, key=lambda one: self._cost(one, jitter, now))
+
+    def _trial(
+        self, request: Request, allowed_seconds: float
+    ) -> Estimate | None:
+        """Return the estimate of a target that a request may try, if any."""
+        if not request.allows(self._region):
+            return None
+        now = self._clock.monotonic()
+        target = self._usable.find_trial(
+            request.service_name,
+            now,
+            is_urgent=request.is_urgent,
+            is_repeatable=request.is_repeatable,
+        )
+        if target is None:
+            return None
+        estimate = self._estimator.estimate(request, target, now)
+        estimate.is_trial = True
+        return estimate if estimate.seconds <= allowed_seconds else None
 
     def _should_relay(
         self,
         request: Request,
         best: Estimate,
         remote: RemoteRegion | None,
+        allowed_seconds: float,
     ) -> bool:
         """Tell whether to relay a request although it is in time here."""
         # Otherwise large prompts that any region may serve would fill the
         # targets that requests bound to this region need.
-        if remote is None or remote.seconds >= best.seconds:
+        if remote is None:
+            return False
+        # All usable targets here are ejected, and each request would fail.
+        if best.target.is_ejected and remote.seconds <= allowed_seconds:
+            return True
+        if remote.seconds >= best.seconds:
             return False
         if best.wait_seconds <= limits.OFFLOAD_WAIT_SECONDS:
             return False
@@ -199,9 +232,8 @@
         self, request: Request, estimate: Estimate, now: float
     ) -> bool:
         """Tell whether a request stays with a preferred target."""
-        is_failing = (
-            estimate.target.failing_share > limits.PREFERRED_FAILING_SHARE
-        )
+        share = estimate.target.failure_rate.share(now)
+        is_failing = share > limits.PREFERRED_FAILING_SHARE
         if is_failing or not request.facts.prefix_segments:
             return False
         elapsed = now - request.received_at
@@ -228,10 +260,12 @@
             name, busy_seconds / len(estimates), self._pace.host_count, now
         )
 
-    def _cost(self, estimate: Estimate, jitter_seconds: float) -> float:
+    def _cost(
+        self, estimate: Estimate, jitter_seconds: float, now: float
+    ) -> float:
         target = estimate.target
         # Failures weigh more than delay: most can't be made up for by a retry.
-        risk = target.failing_share**2
+        risk = target.failure_rate.share(now) ** 2
         jitter = self._random.uniform(0, jitter_seconds)
         return estimate.seconds * max(1.0, target.slowness) + risk + jitter
 
--- a/jacinthfold/placement/estimates.py
+++ b/jacinthfold/placement/estimates.py
@@ -17,6 +17,7 @@
         'tokens_ahead',
         'cached_tokens',
         'is_counted',
+        'is_trial',
         'copy_source',
         'pairs',
         'running_seconds',
@@ -44,6 +45,8 @@
         self.pairs = 0.0
         # Whether the request was counted against the target's limit.
         self.is_counted = False
+        # Whether it is a trial of an ejected target.
+        self.is_trial = False
         # Another target from which this one copies the shared prefix.
         self.copy_source: Target | None = None
 
--- a/jacinthfold/placement/limits.py
+++ b/jacinthfold/placement/limits.py
@@ -25,10 +25,11 @@
 LAST_RESORT_SECONDS = 2.0
 # Added to it for requests that were placed in time and wait for a connection.
 LAST_SEND_SECONDS = 0.5
-# Duration of an ejection after the first failure of an unreachable target,
-# doubled with each further failure in a row up to the limit.
+# Time from the first failure of an unreachable target to its first trial,
+# doubled with each further failure in a row up to the limit. A target gets its
+# share within 5 s of its last failure: half of that remains for the trials.
 EJECT_SECONDS = 0.5
-EJECT_LIMIT_SECONDS = 4.0
+EJECT_LIMIT_SECONDS = 2.25
 # Failures in a row after which a target is ejected although it is reachable.
 FAILURES_TO_EJECT = 3
 # How long a load report of another host counts; reports come every 200 ms.
--- a/jacinthfold/placement/target.py
+++ b/jacinthfold/placement/target.py
@@ -1,10 +1,11 @@
 """Hold the state of one target, as this host knows it."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from jacinthfold import logs
 from jacinthfold.catalogue.model import TargetRecord
 from jacinthfold.placement import limits
+from jacinthfold.placement.failure_rate import FailureRate
 from jacinthfold.placement.prefix_cache import CachedPrefixes
 from jacinthfold.placement.pushback import Pushback
 from jacinthfold.request.messages import PromptPrefix
@@ -14,7 +15,6 @@
 SPEED_WEIGHT = 0.15
 SPEED_START_SECONDS = 0.2
 SLOWNESS_LIMIT = 8.0
-FAILURE_WEIGHT = 0.25
 
 
 class Load:
@@ -56,10 +56,9 @@
         '_record_expires_at',
         '_actual_seconds',
         'cold_until',
-        'ejected_until',
-        'failing_share',
-        'failures',
+        'failure_rate',
         'last_received_at',
+        'on_failure_event',
         'is_removed',
         'cached_prefixes',
         'own',
@@ -83,12 +82,12 @@
         self.cold_until = 0.0
         # When this host last sent a request while the target was cold.
         self.paced_at = float('-inf')
-        self.ejected_until = 0.0
         self.unreachable_until = 0.0
         # When this host last received bytes of any answer of the target.
         self.last_received_at = float('-inf')
-        self.failures = 0
-        self.failing_share = 0.0
+        self.failure_rate = FailureRate()
+        # Called with the service at each ejection, trial and return.
+        self.on_failure_event: Callable[[str, str], None] = ignore_event
         self.seconds_per_call = limits.CALL_SECONDS
         # None while its record stays; else the end of its use as a last resort.
         self._record_expires_at: float | None = None
@@ -104,6 +103,16 @@
         """Return address, port and incarnation: the key of its connections."""
         return (*self.record.address, self.record.incarnation_id)
 
+    @property
+    def is_ejected(self) -> bool:
+        """Return whether it gets trial requests only."""
+        return self.failure_rate.is_ejected
+
+    @property
+    def ejected_until(self) -> float:
+        """Return when an ejected target may be tried, 0 if it never was."""
+        return self.failure_rate.next_trial_at
+
     @property
     def last_resort_until(self) -> float | None:
         """Return until when it may be used as a last resort.
@@ -147,9 +156,7 @@
         self.cached_prefixes.record_use(prefix.name for prefix in prefixes)
 
     def record_success(self, seconds: float, expected_seconds: float) -> None:
-        """Count a served request, with its actual and expected time."""
-        self.failures = 0
-        self.failing_share *= 1 - FAILURE_WEIGHT
+        """Learn the speed from a request's actual and expected time."""
         self._actual_seconds += SPEED_WEIGHT * (seconds - self._actual_seconds)
         self._expected_seconds += SPEED_WEIGHT * (
             expected_seconds - self._expected_seconds
@@ -166,33 +173,91 @@
             return 'target_left'
         return self.pushback.rejection_reason(now, is_counted=is_counted)
 
-    def record_failure(self, now: float, *, is_unreachable: bool) -> None:
+    def record_answer(self, sent_at: float, now: float) -> None:
+        """Count a served request."""
+        if self.failure_rate.record_success(sent_at, now):
+            self._record_return('answers', now)
+
+    def record_first_event(self, sent_at: float, now: float) -> None:
+        """Count the first event of a stream."""
+        if self.failure_rate.record_first_event(sent_at, now):
+            self._record_return('answers', now)
+
+    def record_trial(self, now: float) -> None:
+        """Count a trial request that is sent."""
+        rate = self.failure_rate
+        rate.record_trial(now)
+        logs.event(
+            'target_trial',
+            target=self.record.instance,
+            round=rate.round,
+            seconds_since_failure=now - rate.last_failed_at,
+            seconds_since_report=now - rate.heard_at,
+        )
+        self.on_failure_event(self.record.service, 'trial')
+
+    def record_failure(
+        self,
+        now: float,
+        *,
+        is_unreachable: bool,
+        sent_at: float | None = None,
+        is_cut: bool = False,
+    ) -> None:
         """Count a failed request; eject the target after several in a row.
 
         An unreachable target is ejected at once.
         """
-        self.failures += 1
-        self.failing_share += FAILURE_WEIGHT * (1 - self.failing_share)
-        if is_unreachable or self.failures >= limits.FAILURES_TO_EJECT:
-            doublings = min(self.failures - 1, 3)
-            seconds = min(
-                limits.EJECT_SECONDS * 2**doublings,
-                limits.EJECT_LIMIT_SECONDS,
-            )
-            self._eject(now, seconds, is_unreachable=is_unreachable)
-
-    def _eject(
-        self, now: float, seconds: float, *, is_unreachable: bool
-    ) -> None:
-        was_ejected = self.ejected_until > now
-        self.ejected_until = now + seconds
+        is_ejected = self.failure_rate.record_failure(
+            now if sent_at is None else sent_at,
+            now,
+            is_unreachable=is_unreachable,
+            is_cut=is_cut,
+        )
         if is_unreachable:
-            self.unreachable_until = now + seconds
-        if not was_ejected:
-            logs.warning(
-                'target_set_aside',
-                target=self.record.instance,
-                failures=self.failures,
-                seconds=seconds,
-                unreachable=is_unreachable,
-            )
+            self.unreachable_until = self.failure_rate.next_trial_at
+        if is_ejected:
+            self._record_ejection(now, is_unreachable=is_unreachable)
+
+    def apply_trial_report(
+        self, event: int, event_at: float, trial_round: int, now: float
+    ) -> None:
+        """Apply an ejection, trial or return that another host reported."""
+        rate = self.failure_rate
+        if not rate.apply_report(event, event_at, trial_round, now):
+            return
+        if self.is_ejected:
+            self._record_ejection(event_at, is_unreachable=False)
+        else:
+            self._record_return('report', event_at)
+
+    def _record_ejection(self, now: float, *, is_unreachable: bool) -> None:
+        rate = self.failure_rate
+        logs.warning(
+            'target_set_aside',
+            target=self.record.instance,
+            failures=rate.failures_in_row,
+            seconds=rate.next_trial_at - now,
+            unreachable=is_unreachable,
+            share=rate.share(now),
+        )
+        self.on_failure_event(self.record.service, 'ejected')
+
+    def _record_return(self, source: str, now: float) -> None:
+        self.unreachable_until = 0.0
+        # Slow answers from before the failure would keep requests away, and
+        # only answers lower the average.
+        self._actual_seconds = SPEED_START_SECONDS
+        self._expected_seconds = SPEED_START_SECONDS
+        logs.event(
+            'target_returned',
+            target=self.record.instance,
+            source=source,
+            round=self.failure_rate.round,
+            seconds_since_failure=now - self.failure_rate.last_failed_at,
+        )
+        self.on_failure_event(self.record.service, 'returned')
+
+
+def ignore_event(_service: str, _event: str) -> None:
+    """Drop events until a handler is set."""
--- a/jacinthfold/placement/targets.py
+++ b/jacinthfold/placement/targets.py
@@ -1,6 +1,6 @@
 """Hold the state of the targets of all regions, as this host knows it."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from jacinthfold import logs
 from jacinthfold.catalogue.model import Service, TargetRecord
@@ -9,7 +9,7 @@
 from jacinthfold.placement.latency_model import LatencyModels
 from jacinthfold.placement.prefix_cache import RecentPrefixUses
 from jacinthfold.placement.pushback import RetainedPushback
-from jacinthfold.placement.target import Load, Target
+from jacinthfold.placement.target import Load, Target, ignore_event
 
 
 class TargetTable:
@@ -35,6 +35,7 @@
         self._retained = RetainedPushback()
         self._services: Mapping[str, Service] = {}
         self.evacuated: frozenset[str] = frozenset()
+        self.on_failure_event: Callable[[str, str], None] = ignore_event
         self.latency_models = LatencyModels()
         self.recent_uses = RecentPrefixUses()
 
@@ -235,6 +236,7 @@
             started_at = _started_at(record, self._clock)
             pushback = earlier.pushback.for_next_incarnation(started_at)
         target = Target(record, pushback)
+        target.on_failure_event = lambda *event: self.on_failure_event(*event)
         if earlier is not None:
             # Nothing else carries over. The rate limit of cold targets counts
             # requests to the instance, across incarnations.
--- a/jacinthfold/placement/usable.py
+++ b/jacinthfold/placement/usable.py
@@ -11,6 +11,7 @@
 )
 from jacinthfold.placement.target import Target
 from jacinthfold.placement.targets import TargetTable
+from jacinthfold.placement.trials import TrialTurns
 
 # Retry time when no target is usable: cold targets accept the next request
 # after 0.3 s.
@@ -26,6 +27,7 @@
         '_region',
         '_retry_schedule',
         '_targets',
+        '_turns',
     )
 
     def __init__(
@@ -42,6 +44,7 @@
         self._pace = pace
         self._limit_shares = limit_shares
         self._retry_schedule = retry_schedule
+        self._turns = TrialTurns(pace.ranks)
 
     def find(
         self,
@@ -67,7 +70,7 @@
             and self._is_admitted(target, now, is_urgent=is_urgent)
         ]
         staying = [one for one in candidates if one.last_resort_until is None]
-        healthy = [one for one in staying if one.ejected_until <= now]
+        healthy = [one for one in staying if not one.is_ejected]
         if healthy:
             return healthy
         return staying or [
@@ -76,6 +79,25 @@
             if one.last_resort_until is not None and one.last_resort_until > now
         ]
 
+    def find_trial(
+        self, service: str, now: float, *, is_urgent: bool, is_repeatable: bool
+    ) -> Target | None:
+        """Return the ejected target that a request may try now, if any."""
+        self._turns.record_request(service, now, is_repeatable=is_repeatable)
+        targets = self._targets.of(service, self._region)
+        ejected = [one for one in targets if one.is_ejected]
+        if not ejected:
+            return None
+        allowed = [
+            target
+            for target in ejected
+            if target.record.data_centre not in self._targets.evacuated
+            and target.last_resort_until is None
+            and self._allows_cold(target, now)
+            and self._is_admitted(target, now, is_urgent=is_urgent)
+        ]
+        return self._turns.find(allowed, now, is_repeatable=is_repeatable)
+
     def record_sent(self, target: Target, now: float) -> bool:
         """Count a request that is sent; tell whether a limit counts it."""
         if target.cold_until > now:
--- a/jacinthfold/proxy/attempts.py
+++ b/jacinthfold/proxy/attempts.py
@@ -105,7 +105,9 @@
         delivery.on_activity = partial(attempt.record_activity, self._clock)
         began_at = self._clock.monotonic()
         load = in_flight_load.InFlightLoad(estimate, request)
-        delivery.on_first_event = load.record_prefilled
+        delivery.on_first_event = partial(
+            self._record_first_event, load, target, began_at
+        )
         delivery.target_rejection = lambda: target.rejection_reason(
             self._clock.monotonic(), is_counted=estimate.is_counted
         )
@@ -292,6 +294,12 @@
             seconds = first_at - began_at
             service = target.record.service
             self._metrics.first_event_seconds.labels(service).observe(seconds)
+            if outcome.reason:
+                target.record_failure(
+                    now, is_unreachable=False, sent_at=began_at
+                )
+                return
+            target.record_answer(began_at, now)
             target.record_success(seconds, estimate.seconds)
             if delivery.first_event_at:
                 self._update_latency_model(estimate, seconds, now)
@@ -301,12 +309,31 @@
                     seconds - target.seconds_per_call
                 )
             return
-        if outcome.is_rejected_locally or outcome.is_pushback:
+        if outcome.is_rejected_locally:
+            return
+        if outcome.is_pushback:
+            target.failure_rate.record_backoff(
+                target.pushback.backoff.until - now, now
+            )
             return
         if outcome.reason == 'wrong_instance':
             target.set_record_expiry(now)
         is_unreachable = outcome.reason.startswith('unreachable')
-        target.record_failure(now, is_unreachable=is_unreachable)
+        target.record_failure(
+            now,
+            is_unreachable=is_unreachable,
+            sent_at=began_at,
+            is_cut=delivery.first_event_at > 0,
+        )
+
+    def _record_first_event(
+        self,
+        load: in_flight_load.InFlightLoad,
+        target: Target,
+        began_at: float,
+    ) -> None:
+        load.record_prefilled()
+        target.record_first_event(began_at, self._clock.monotonic())
 
     def _update_latency_model(
         self, estimate: Estimate, seconds: float, now: float
--- a/jacinthfold/proxy/forwarding.py
+++ b/jacinthfold/proxy/forwarding.py
@@ -113,7 +113,8 @@
         choice: Choice,
     ) -> bool:
         """Make one attempt; return whether another one may follow."""
-        request_log.log_choice(request, choice, progress)
+        now = self._clock.monotonic()
+        request_log.log_choice(request, choice, progress, now)
         outcome = await self._attempt(request, response, progress, choice)
         progress.record_attempt(choice, outcome)
         if outcome.ending is Ending.DELIVERED:
--- a/jacinthfold/proxy/metrics.py
+++ b/jacinthfold/proxy/metrics.py
@@ -32,6 +32,12 @@
             ['service', 'ending'],
             registry=self.registry,
         )
+        self.target_failure_events = Counter(
+            'jacinthfold_gateway_target_failure_events_total',
+            'Ejections, trials and returns of targets, by service',
+            ['service', 'event'],
+            registry=self.registry,
+        )
         self.request_seconds = Histogram(
             'jacinthfold_gateway_request_seconds',
             'Time from the whole request to the end of its answer',
--- a/jacinthfold/proxy/request_log.py
+++ b/jacinthfold/proxy/request_log.py
@@ -8,7 +8,9 @@
 from jacinthfold.request.messages import Request
 
 
-def log_choice(request: Request, choice: Choice, progress: Progress) -> None:
+def log_choice(
+    request: Request, choice: Choice, progress: Progress, now: float
+) -> None:
     """Log the chosen target or region and its estimate."""
     if isinstance(choice, SendTo):
         estimate = choice.estimate
@@ -23,7 +25,8 @@
             prompt_tokens=request.facts.prompt_tokens,
             cached_tokens=estimate.cached_tokens,
             copied_from=estimate.copy_source_name,
-            failing_share=estimate.target.failing_share,
+            failing_share=estimate.target.failure_rate.share(now),
+            is_trial=estimate.is_trial,
         )
     if isinstance(choice, RelayTo):
         logs.event(
--- a/jacinthfold/request/messages.py
+++ b/jacinthfold/request/messages.py
@@ -1,6 +1,6 @@
 """Model requests and responses while the gateway handles them."""
 
-from jacinthfold.catalogue.model import Route
+from jacinthfold.catalogue.model import RetryPolicy, Route
 from jacinthfold.organisations.model import Organisation
 
 Headers = list[tuple[bytes, bytes]]
@@ -153,6 +153,11 @@
             return self.route.priority
         return organisation.priority
 
+    @property
+    def is_repeatable(self) -> bool:
+        """Check whether it may run more than once."""
+        return self.route.retry_policy is not RetryPolicy.NEVER
+
     @property
     def is_urgent(self) -> bool:
         """Check whether it has the highest priority."""
--- a/tests/gateway/test_rebirth.py
+++ b/tests/gateway/test_rebirth.py
@@ -36,8 +36,11 @@
     first = scene.add('i-1', started_at_ms=BORN)
     now = scene.clock.monotonic()
     first.own = Load(3, 50000, 50000)
-    first.failing_share = 0.8
-    first.ejected_until = now + 4
+    for _ in range(4):
+        first.record_failure(now, is_unreachable=True)
+    assert first.failure_rate.share(now) > 0.6
+    assert first.is_ejected
+    assert first.unreachable_until > now
     first.record_success(5.0, 0.1)
     first.cached_prefixes.record_use(['/a', '/a/b'])
     scene.targets.update_loads(
@@ -46,8 +49,9 @@
     again = scene.add('i-1', started_at_ms=later, cold_seconds=2.0)
     assert again is not first
     assert again.load(now).requests == 0
-    assert (again.failing_share, again.slowness) == (0.0, 1.0)
-    assert again.ejected_until <= now
+    assert (again.failure_rate.share(now), again.slowness) == (0.0, 1.0)
+    assert not again.is_ejected
+    assert max(again.ejected_until, again.unreachable_until) <= now
     facts = RequestFacts('id', 'api')
     facts.prefix_segments = scene.parts('a', 'b')
     assert first.cached_prefixes.cached_tokens(facts.prefixes, 500000) == 2000
--- a/tests/gateway/test_suspects.py
+++ b/tests/gateway/test_suspects.py
@@ -332,8 +332,8 @@
     before.own = Load(1, 5, 5)
     record_crash_in_fleet(fleet, 'h001', 'q', 'i-1')
     fleet.run(1.0)
-    assert before.failures == 0
-    assert before.failing_share == 0
+    assert before.failure_rate.failures_in_row == 0
+    assert before.failure_rate.share(fleet.clock.monotonic()) == 0
 
 
 class SharedStore:
