--- a/jacinthfold/placement/choice.py
+++ b/jacinthfold/placement/choice.py
@@ -102,6 +102,9 @@
                 is_retry=True,
                 is_waiting=is_waiting,
             )
+        trial = self._trial(request)
+        if trial is not None:
+            return SendTo(trial)
         rejection = self._reject_early(request)
         if rejection is not None:
             return rejection
@@ -125,6 +128,8 @@
         if self._usable.has_places(request.service_name):
             estimate.in_flight_before = target.load(now).requests
             self.place_shares.record_call(request, now)
+        if estimate.is_trial:
+            target.record_trial(now)
         target.record_sent(request.facts.prefixes, estimate.tokens_to_prefill)
         shared = request.facts.shared_prefixes
         if shared and shared[-1].tokens >= limits.COPY_AT_LEAST_TOKENS:
@@ -157,6 +162,8 @@
             for target in self._usable.find(
                 service, (), now, is_urgent=is_urgent
             )
+            # Other regions would send requests to targets that fail.
+            if not target.is_ejected
         ]
         if not waits:
             return None
@@ -181,7 +188,8 @@
         allowed = self._latency_budget_seconds(request, is_retry=is_retry)
         remote = self._best_remote(request, tried_regions)
         if best is not None and best.lagged_seconds <= allowed:
-            if self._should_relay(request, best, remote) and remote is not None:
+            is_relayed = self._should_relay(request, best, remote, allowed)
+            if is_relayed and remote is not None:
                 return RelayTo(remote)
             return SendTo(best)
         if remote is not None and remote.seconds <= allowed:
@@ -265,22 +273,46 @@
             estimates.append(estimate)
         jitter = self._jitter_seconds(request, estimates, now)
         if self._overload.water_filling:
-            costs = [self._cost(one, 0.0) for one in estimates]
+            costs = [self._cost(one, 0.0, now) for one in estimates]
             work_seconds = jitter * len(estimates)
             chosen = water_filling.choose(costs, work_seconds, self._random)
             return estimates[chosen]
-        return min(estimates, key=lambda one: self._cost(one, jitter))
+        return min(estimates, key=lambda one: self._cost(one, jitter, now))
+
+    def _trial(self, request: Request) -> Estimate | None:
+        """Return the estimate of a target that a request may try, if any."""
+        if not request.allows(self._region):
+            return None
+        now = self._clock.monotonic()
+        target = self._usable.find_trial(
+            request.service_name,
+            now,
+            is_urgent=request.is_urgent,
+            is_repeatable=request.is_repeatable,
+        )
+        if target is None:
+            return None
+        estimate = self._estimator.estimate(request, target, now)
+        estimate.is_trial = True
+        allowed = self._latency_budget_seconds(request, is_retry=False)
+        return estimate if estimate.seconds <= allowed else None
 
     def _should_relay(
         self,
         request: Request,
         best: Estimate,
         remote: RemoteRegion | None,
+        allowed_seconds: float,
     ) -> bool:
         """Tell whether to relay a request although it is in time here."""
         # Otherwise large prompts that any region may serve would fill the
         # targets that requests bound to this region need.
-        if remote is None or remote.seconds >= best.seconds:
+        if remote is None:
+            return False
+        # All usable targets here are ejected, and each request would fail.
+        if best.target.is_ejected and remote.seconds <= allowed_seconds:
+            return True
+        if remote.seconds >= best.seconds:
             return False
         if best.wait_seconds <= limits.OFFLOAD_WAIT_SECONDS:
             return False
@@ -337,9 +369,8 @@
         self, request: Request, estimate: Estimate, now: float
     ) -> bool:
         """Tell whether a request stays with a preferred target."""
-        is_failing = (
-            estimate.target.failing_share > limits.PREFERRED_FAILING_SHARE
-        )
+        share = estimate.target.failure_rate.share(now)
+        is_failing = share > limits.PREFERRED_FAILING_SHARE
         if is_failing or not request.facts.prefix_segments:
             return False
         elapsed = now - request.received_at
@@ -366,10 +397,12 @@
             name, busy_seconds / len(estimates), self._pace.host_count, now
         )
 
-    def _cost(self, estimate: Estimate, jitter_seconds: float) -> float:
+    def _cost(
+        self, estimate: Estimate, jitter_seconds: float, now: float
+    ) -> float:
         target = estimate.target
         # Failures weigh more than delay: most can't be made up for by a retry.
-        risk = target.failing_share**2
+        risk = target.failure_rate.share(now) ** 2
         jitter = self._random.uniform(0, jitter_seconds)
         return estimate.seconds * max(1.0, target.slowness) + risk + jitter
 
--- a/jacinthfold/placement/estimates.py
+++ b/jacinthfold/placement/estimates.py
@@ -18,6 +18,7 @@
         'tokens_ahead',
         'cached_tokens',
         'is_counted',
+        'is_trial',
         'copy_source',
         'in_flight_before',
         'pairs',
@@ -51,6 +52,8 @@
         # Requests in flight at the target when this one was sent; None if its
         # places are not shared.
         self.in_flight_before: int | None = None
+        # Whether it is a trial of an ejected target.
+        self.is_trial = False
         # Another target from which this one copies the shared prefix.
         self.copy_source: Target | None = None
 
--- a/jacinthfold/placement/targets.py
+++ b/jacinthfold/placement/targets.py
@@ -1,6 +1,7 @@
 """Hold the state of the targets of all regions, as this host knows it."""
 
 from collections.abc import Callable, Iterable, Mapping
+from functools import partial
 
 from jacinthfold import logs
 from jacinthfold.catalogue.model import Service, TargetRecord
@@ -44,6 +45,7 @@
         self.evacuated: frozenset[str] = frozenset()
         # Counts changes of targets and reports, but not this host's own load.
         self.change_count = 0
+        self.on_failure_event: Callable[[str, str], None] = lambda *_: None
         self.latency_models = LatencyModels()
         self.recent_uses = RecentPrefixUses()
 
@@ -256,6 +258,7 @@
         target = Target(record, pushback)
         target.knowledge_age = self.knowledge_age
         target.is_resuming = self.resume_guard.is_resuming
+        target.on_failure_event = partial(_record_event, self)
         if earlier is not None:
             # Nothing else carries over. The rate limit of cold targets counts
             # requests to the instance, across incarnations.
@@ -299,3 +302,14 @@
         None not in {known, record.started_at_ms}
         and known != record.started_at_ms
     )
+
+
+def _record_event(table: TargetTable, target: Target, event: str) -> None:
+    service = target.record.service
+    if event == 'returned':
+        # The targets that were left had to serve all requests and were slow.
+        # Only answers lower the averages, and they would get none.
+        region = table.region_of(target.record.data_centre)
+        for one in table.of(service, region):
+            one.forget_speed()
+    table.on_failure_event(service, event)
--- a/jacinthfold/proxy/forwarding.py
+++ b/jacinthfold/proxy/forwarding.py
@@ -116,7 +116,8 @@
         choice: Choice,
     ) -> bool:
         """Make one attempt; return whether another one may follow."""
-        request_log.log_choice(request, choice, progress)
+        now = self._clock.monotonic()
+        request_log.log_choice(request, choice, progress, now)
         try:
             outcome = await self._attempt(request, response, progress, choice)
         finally:
--- a/tests/gateway/test_rejections.py
+++ b/tests/gateway/test_rejections.py
@@ -108,13 +108,13 @@
 def test_request_is_served_once_another_target_is_free(change):
     """Guards against rejections by reports and targets of a moment ago.
 
-    An engine that was ejected is usable again 10 ms later, which nothing but
-    the age of what is known tells.
+    An engine that was unreachable is usable again 10 ms later, which nothing
+    but the age of what is known tells.
     """
     scene = full_scene(engines=3)
     if change == 'age':
-        free = scene.add('i-ejected')
-        free.ejected_until = scene.clock.monotonic() + 0.01
+        free = scene.add('i-unreachable')
+        free.unreachable_until = scene.clock.monotonic() + 0.01
     assert is_late(scene.choose(request(scene)))
     assert is_late(scene.choose(request(scene)))
     if change == 'report':
