--- a/tools/losses.py
+++ b/tools/losses.py
@@ -77,6 +77,9 @@
         elif event.name == 'request_refused':
             cause = f'refused {fields["reason"]}, {size_of(fields)}'
             self.windows[event.window][cause] += 1
+        elif event.name == 'requests_refused':
+            cause = f'refused {fields["reason"]}, any size'
+            self.windows[event.window][cause] += int(fields['left_out'])
         elif event.name == 'attempt_failed':
             reason = fields['reason'][:REASON_SHOWN]
             self.windows[event.window][f'failed {reason}'] += 1
