Serve small caps from one pool for all regions

Cause: buckets of the whole cap hold 241 tokens for a cap of 600 tokens per second without slack, and 161 for one of 400. Divided between the pools of two regions they hold less than a call of 200 tokens, so that no pool ever grants one. With a cap of 400 the same happens in one region, since 0.6 of the room in the window is reserved for a new issuer.

Change: buckets hold 1.2 calls as far as the window allows. A cap whose buckets hold fewer than ten calls has one pool, ranked over the live hosts of all regions. A silent pool of such a cap is asked twice before the next host. Issuers and shares are unchanged.

Ruled out: the steady rate (0.9 of the cap is leased to one pool, 0.83 is requested); shares that move to the region of the next call, since tokens don't move with them.

--- a/jacinthfold/quota/bounds.py
+++ b/jacinthfold/quota/bounds.py
@@ -21,6 +21,12 @@
 # A new issuer leases the rest while it does not know yet which shares of its
 # predecessor are still outstanding.
 BURST_FRACTION = 0.4
+# The buckets hold at least this many calls, as far as the window allows: a
+# pool alone holds nine tenths of them, which must cover one call.
+MIN_BURST_CALLS = 1.2
+# A cap whose buckets hold fewer calls has one pool for all regions. Divided
+# among the pools of several regions, they would often hold less than one call.
+SHARED_POOL_BURST_CALLS = 10
 # Largest fraction of the window's limit for the steady rate, where the cap
 # allows no burst.
 STEADY_FRACTION = 0.9
@@ -42,7 +48,7 @@
 class CapRate:
     """Rate and burst of a whole cap, and the share leased in recovery."""
 
-    __slots__ = ('burst', 'recovery_share', 'per_second')
+    __slots__ = ('burst', 'has_shared_pool', 'recovery_share', 'per_second')
 
     def __init__(self, cap: Cap, window: Window) -> None:
         """Derive them from a cap and the window that counts it."""
@@ -54,7 +60,13 @@
         steady = window_limit * STEADY_FRACTION / span_seconds
         self.per_second = min(cap.per_second, steady)
         burst_budget = window_limit - self.per_second * span_seconds
-        self.burst = burst_budget * BURST_FRACTION
+        call_cost = cap.cost(0, 0)
+        self.burst = min(
+            burst_budget,
+            max(burst_budget * BURST_FRACTION, call_cost * MIN_BURST_CALLS),
+        )
+        # Whether one pool serves the hosts of all regions.
+        self.has_shared_pool = self.burst < call_cost * SHARED_POOL_BURST_CALLS
         recovery_budget = burst_budget - self.burst
         self.recovery_share = min(
             1.0, recovery_budget / self.per_second / _RECOVERY_LEASE_SECONDS
--- a/jacinthfold/quota/permits.py
+++ b/jacinthfold/quota/permits.py
@@ -22,6 +22,8 @@
 # A live pool responds within its own longest wait. After this time the next
 # host in rank order is tried.
 POOL_TIMEOUT_SECONDS = MAX_WAIT_SECONDS + 0.1
+# Added for a pool in another region: about twice the usual round trip.
+REGION_TRIP_SECONDS = 0.2
 POOLS_TRIED = 2
 # How long the ranking of hosts for an organisation's pool is cached.
 POOL_ORDER_SECONDS = 0.3
@@ -49,6 +51,8 @@
 
 
 PermitResult = Permit | CapRejection
+# Name of a pool's host, and the seconds after which the next one is tried.
+_PoolChoice = tuple[str, float]
 
 
 class PermitClient:
@@ -65,7 +69,7 @@
         # A random start, so that responses to a previous process don't match.
         self._last_number = random.getrandbits(48)
         self._pending: dict[int, asyncio.Future[CapRejection | None]] = {}
-        self._pool_orders: dict[str, tuple[float, list[str]]] = {}
+        self._pool_orders: dict[str, tuple[float, list[_PoolChoice]]] = {}
         self._rejections: dict[str, _CachedRejection] = {}
 
     async def acquire(self, organisation: str, cost: int) -> PermitResult:
@@ -103,11 +107,13 @@
             future.set_result(_rejection(response))
 
     async def _try_pool(
-        self, name: str, organisation: str, cost: int
+        self, choice: _PoolChoice, organisation: str, cost: int
     ) -> PermitResult | None:
+        name, timeout_seconds = choice
         requested_at = self._clock.boottime()
         try:
-            rejection = await self._request(name, organisation, cost)
+            async with asyncio.timeout(timeout_seconds):
+                rejection = await self._request(name, organisation, cost)
         except TimeoutError:
             logs.event('pool_silent', organisation=organisation, pool=name)
             return None
@@ -131,8 +137,7 @@
                 )
             else:
                 self._send(name, PermitRequest(number, organisation, cost))
-            async with asyncio.timeout(POOL_TIMEOUT_SECONDS):
-                return await future
+            return await future
         finally:
             self._pending.pop(number)
 
@@ -141,18 +146,34 @@
         if endpoint is not None:
             self._outbox.put(endpoint, request)
 
-    def _pool_order(self, organisation: str) -> Iterable[str]:
+    def _pool_order(self, organisation: str) -> Iterable[_PoolChoice]:
         now = self._clock.boottime()
         known = self._pool_orders.get(organisation)
         if known is None or now - known[0] > POOL_ORDER_SECONDS:
-            own = self._hosts.own
-            serving = {one.name for one in self._hosts.serving(own.region)}
-            # A host that starts or leaves uses its own pool when it is alone.
-            order = rank(f'pool {organisation}', serving or {own.name})
-            known = (now, order[:POOLS_TRIED])
+            known = (now, self._rank_pools(organisation))
             self._pool_orders[organisation] = known
         return known[1]
 
+    def _rank_pools(self, organisation: str) -> list[_PoolChoice]:
+        cap_rate = self._pools.cap_rate_of(organisation)
+        is_shared = cap_rate is not None and cap_rate.has_shared_pool
+        own = self._hosts.own
+        regions = self._hosts.regions() if is_shared else {own.region}
+        serving = {
+            host.name: host.region
+            for region in regions
+            for host in self._hosts.serving(region)
+        }
+        # A host that starts or leaves uses its own pool when it is alone.
+        order = rank(f'pool {organisation}', serving or {own.name})
+        # A second pool would take part of a small cap for some seconds, and
+        # neither would hold a call. A single lost message must not cause that.
+        repeated = order[:1] if is_shared else []
+        return [
+            (name, _timeout_seconds(serving.get(name, own.region), own.region))
+            for name in repeated + order[:POOLS_TRIED]
+        ]
+
     def _cached_rejection(
         self, organisation: str, cost: int
     ) -> CapRejection | None:
@@ -185,6 +206,12 @@
         self.expires_at = expires_at
 
 
+def _timeout_seconds(region: str, own_region: str) -> float:
+    if region == own_region:
+        return POOL_TIMEOUT_SECONDS
+    return POOL_TIMEOUT_SECONDS + REGION_TRIP_SECONDS
+
+
 def _rejection(response: PermitResponse) -> CapRejection | None:
     if response.retry_after_ms is None:
         return None
--- a/tools/ablations/organisations.py
+++ b/tools/ablations/organisations.py
@@ -5,6 +5,7 @@
 KEYS = 'tests/gateway/test_organisations.py::'
 FRESH = 'tests/gateway/test_freshness.py::'
 QUOTA = 'tests/gateway/test_quota.py::'
+SMALL = 'tests/gateway/test_small_caps.py::'
 ORDER = 'tests/gateway/test_permit_order.py::'
 WINDOWS = QUOTA + 'test_no_window_exceeds_its_limit'
 
@@ -185,6 +186,50 @@
         ],
         WINDOWS,
     ),
+    Ablation(
+        'caps: one pool serves a small cap in all regions',
+        [
+            (
+                'quota/permits.py',
+                'regions = self._hosts.regions() if is_shared else {own.region}',
+                'regions = {own.region}',
+            )
+        ],
+        SMALL + 'test_calls_below_a_small_cap_are_served',
+    ),
+    Ablation(
+        'caps: the buckets of a small cap hold a call',
+        [
+            (
+                'quota/bounds.py',
+                'max(burst_budget * BURST_FRACTION, call_cost * MIN_BURST_CALLS)',
+                'burst_budget * BURST_FRACTION',
+            )
+        ],
+        SMALL + 'test_calls_below_a_small_cap_are_served',
+    ),
+    Ablation(
+        'caps: the buckets of a small cap fit its window',
+        [
+            (
+                'quota/bounds.py',
+                'self.burst = min(\n            burst_budget,',
+                'self.burst = min(\n            window_limit,',
+            )
+        ],
+        SMALL + 'test_burst_of_one_call_fits_the_window',
+    ),
+    Ablation(
+        'caps: a lost message does not start a second pool of a small cap',
+        [
+            (
+                'quota/permits.py',
+                'repeated = order[:1] if is_shared else []',
+                'repeated = []',
+            )
+        ],
+        SMALL + 'test_lost_permit_request_does_not_divide_a_small_cap',
+    ),
     Ablation(
         'caps: the permit is acquired before the target is chosen',
         [
