--- a/bench/rejections.py
+++ b/bench/rejections.py
@@ -16,6 +16,7 @@
 import threading
 import time
 
+from jacinthfold.platform import dialect
 from tests.gateway import deployment
 from tests.gateway.http_server import Reply
 from tests.gateway.target_standin import echoed
@@ -71,9 +72,9 @@
         headers = [
             ('Request-Deadline', '3000'),
             ('Model', 'm'),
-            ('Token-Usage', f'{sum(tokens)},30'),
+            (dialect.TOKEN_USAGE.decode(), f'{sum(tokens)},30'),
             (
-                'Prompt-Prefix',
+                dialect.PROMPT_PREFIX.decode(),
                 f'aa{subject % 3:x}:{tokens[0]},bb{subject:x}:{tokens[1]},'
                 f'cc{caller:x}{number:x}:{tokens[2]}',
             ),
