--- a/jacinthfold/gateway/settings.py
+++ b/jacinthfold/gateway/settings.py
@@ -163,13 +163,13 @@
         'region_shares': Option(
             _parse_switch,
             'on or off',
-            'on: relayed load is split by the capacity other regions report',
+            'reserved: relayed load by the capacity of regions; not built yet',
             'off',
         ),
         'fair_shares': Option(
             _parse_switch,
             'on or off',
-            'on: organisations share scarce capacity by weight',
+            'reserved: scarce capacity by organisation; not built yet',
             'off',
         ),
         'answer_lag': Option(
