Class waiting requests by rank, not by the organisation's priority

Cause: the queue took the priority that an organisation's replaces, so that urgent and ordinary requests of one organisation were in one class, as they were at the engines before the rank.

Change: class, log lines and metric use the rank. Without priorities of organisations nothing changes.

--- a/jacinthfold/placement/request_classes.py
+++ b/jacinthfold/placement/request_classes.py
@@ -29,7 +29,7 @@
     def class_of(self, request: Request) -> RequestClass:
         """Return the class of the requests that are placed alike."""
         return RequestClass(
-            request.priority, self._size(request), request.home_regions
+            request.rank, self._size(request), request.home_regions
         )
 
     def own_seconds(self, request: Request) -> float:
--- a/jacinthfold/proxy/waiting_log.py
+++ b/jacinthfold/proxy/waiting_log.py
@@ -11,7 +11,7 @@
 
 def labels(request: Request) -> tuple[str, str]:
     """Return the metric labels of a waiting request."""
-    priority = max(0, request.priority)
+    priority = max(0, request.rank)
     if priority >= LAST_PRIORITY_LABEL:
         return request.service_name, f'{LAST_PRIORITY_LABEL}+'
     return request.service_name, str(priority)
@@ -36,7 +36,7 @@
         'request_waits',
         request=request.facts.request_id,
         service=request.service_name,
-        priority=request.priority,
+        priority=request.rank,
         size=entry.request_class.size.value,
         reason=rejection.reason,
         ahead=ahead,
@@ -54,7 +54,7 @@
         'request_waited',
         request=request.facts.request_id,
         service=request.service_name,
-        priority=request.priority,
+        priority=request.rank,
         seconds=seconds,
         trials=trials,
         ending=ending,
--- a/tests/gateway/test_waiting_queue.py
+++ b/tests/gateway/test_waiting_queue.py
@@ -12,6 +12,7 @@
     rule,
 )
 
+from jacinthfold.organisations.model import Organisation
 from jacinthfold.placement.placement_rates import (
     RATE_WINDOW_SECONDS,
     PlacementRates,
@@ -24,6 +25,7 @@
     WaitingQueue,
     WaitingRequest,
 )
+from tests.gateway.test_placement import Scene
 
 LIMIT_REQUESTS = 12
 LIMIT_BYTES = 5000
@@ -244,3 +246,21 @@
     later = 10.0 + RATE_WINDOW_SECONDS
     assert rates.per_second('a', later) == pytest.approx(20 / math.e, rel=0.1)
     assert rates.per_second('a', 10.0 + 10 * RATE_WINDOW_SECONDS) == 0.0
+
+
+def test_waiting_requests_are_classed_by_their_rank():
+    """Guards against questions that wait behind long prompts of their caller.
+
+    An organisation's priority replaces that of its routes, so that only the
+    rank tells its urgent requests from the others.
+    """
+    scene = Scene()
+    urgent, ordinary = scene.request(priority=0), scene.request(priority=2)
+    for request in (urgent, ordinary):
+        request.organisation = Organisation('north', ())
+        request.organisation.priority = 1
+    classifier = scene.placer.classifier
+    assert (
+        classifier.class_of(urgent).priority
+        < classifier.class_of(ordinary).priority
+    )
