Let the measured speed of a plain target expire

Cause: a target that was measured slow for a moment gets no calls while others are as idle, and without answers its slowness never falls.

Change: for plain targets the measured speed counts for 2.5 s after the last answer, and the averages start anew after that. Engines keep theirs: hosts of large regions get an answer of one engine every few seconds, and a third of the engines is slower for good.

Ruled out: the trials and the share of failures (returned at all hosts within 0.7 s).

The new test fails without it.

--- a/jacinthfold/placement/choice.py
+++ b/jacinthfold/placement/choice.py
@@ -404,7 +404,10 @@
         # Failures weigh more than delay: most can't be made up for by a retry.
         risk = target.failure_rate.share(now) ** 2
         jitter = self._random.uniform(0, jitter_seconds)
-        return estimate.seconds * max(1.0, target.slowness) + risk + jitter
+        slowness = target.slowness
+        if not self._targets.service(target.record.service).is_engine:
+            slowness = target.call_slowness(now)
+        return estimate.seconds * max(1.0, slowness) + risk + jitter
 
     def _latency_budget_seconds(
         self, request: Request, *, is_retry: bool
--- a/jacinthfold/placement/target.py
+++ b/jacinthfold/placement/target.py
@@ -17,6 +17,10 @@
 SPEED_WEIGHT = 0.15
 SPEED_START_SECONDS = 0.2
 SLOWNESS_LIMIT = 8.0
+# A plain target that was measured slow gets no requests while others are as
+# idle, and without answers it would count as slow for ever. Half of the time
+# within which a target that serves again gets its share.
+CALL_SPEED_LIFETIME_SECONDS = 2.5
 # How old a target's leaving may be when a request is sent to it.
 _MAX_SEND_AGE_SECONDS = (
     limits.MAX_USE_AFTER_LEAVING_SECONDS - limits.SEND_MARGIN_SECONDS
@@ -61,6 +65,7 @@
         '_expected_seconds',
         '_record_expires_at',
         '_actual_seconds',
+        '_call_measured_at',
         'cold_until',
         'concurrency_limit',
         'failure_rate',
@@ -119,6 +124,8 @@
         # Moving averages of the actual and the expected time of answers.
         self._actual_seconds = SPEED_START_SECONDS
         self._expected_seconds = SPEED_START_SECONDS
+        # When the speed of a plain target was last measured.
+        self._call_measured_at = float('-inf')
 
     @property
     def connection_key(self) -> tuple[str, int, str]:
@@ -160,6 +167,11 @@
         ratio = self._actual_seconds / self._expected_seconds
         return min(SLOWNESS_LIMIT, max(1 / SLOWNESS_LIMIT, ratio))
 
+    def call_slowness(self, now: float) -> float:
+        """Return the slowness of a plain target, 1 if it is not recent."""
+        age_seconds = now - self._call_measured_at
+        return self.slowness if age_seconds < CALL_SPEED_LIFETIME_SECONDS else 1
+
     def load(self, now: float) -> Load:
         """Return the load of this host and of all recent reports."""
         total = Load()
@@ -184,6 +196,15 @@
             expected_seconds - self._expected_seconds
         )
 
+    def record_call(
+        self, seconds: float, expected_seconds: float, now: float
+    ) -> None:
+        """Learn the speed of a plain target from a served call."""
+        if now - self._call_measured_at >= CALL_SPEED_LIFETIME_SECONDS:
+            self.forget_speed()
+        self._call_measured_at = now
+        self.record_success(seconds, expected_seconds)
+
     def forget_speed(self) -> None:
         """Start the averages of the times of answers anew."""
         self._actual_seconds = SPEED_START_SECONDS
--- a/jacinthfold/proxy/attempts.py
+++ b/jacinthfold/proxy/attempts.py
@@ -314,11 +314,12 @@
                 )
                 return
             target.record_served(began_at, now)
-            target.record_success(seconds, estimate.seconds)
             if delivery.first_event_at:
+                target.record_success(seconds, estimate.seconds)
                 self._update_latency_model(estimate, seconds, now)
                 self._record_hold_time(estimate, now - first_at)
             else:
+                target.record_call(seconds, estimate.seconds, now)
                 in_slot_seconds = in_flight_load.call_seconds(
                     estimate, seconds, now
                 )
--- a/tests/gateway/test_failing_targets.py
+++ b/tests/gateway/test_failing_targets.py
@@ -224,6 +224,33 @@
         )
 
 
+def test_plain_target_that_was_slow_for_a_moment_gets_calls_again():
+    """Guards against a target that counts as slow for ever.
+
+    A few calls took twice their time while the host was busy. The target gets
+    no more calls then, since others are as idle, and has no answers that could
+    show its usual speed.
+    """
+    scene = Scene()
+    slow, _ = scene.add('i-1', 'desk'), scene.add('i-2', 'desk')
+    for _ in range(20):
+        slow.record_call(0.1, 0.05, scene.clock.monotonic())
+
+    def chosen():
+        return {
+            scene.instance(
+                scene.request(0, 'desk', latency_objective_seconds=0.6)
+            )
+            for _ in range(40)
+        }
+
+    assert chosen() == {'i-2'}
+    scene.clock.advance(2.5)
+    assert chosen() == {'i-1', 'i-2'}
+    slow.record_call(0.05, 0.05, scene.clock.monotonic())
+    assert chosen() == {'i-1', 'i-2'}
+
+
 def test_events_are_counted_by_service():
     scene = Scene()
     counted = []
--- a/tools/ablations/decisions.py
+++ b/tools/ablations/decisions.py
@@ -5,6 +5,18 @@
 GATEWAY = 'tests/gateway/'
 
 DECISIONS = [
+    Ablation(
+        'gateway: the measured speed of a plain target expires',
+        [
+            (
+                'placement/target.py',
+                'return self.slowness if age_seconds < CALL_SPEED_LIFETIME_SECONDS else 1',
+                'return self.slowness',
+            )
+        ],
+        GATEWAY
+        + 'test_failing_targets.py::test_plain_target_that_was_slow_for_a_moment_gets_calls_again',
+    ),
     Ablation(
         'gateway: hosts level the waits of targets by stale load data',
         [
