Leave a silent target only while another one can take the request

Cause: a stream that pauses for 1.2 s (three times the pause that callers accept) is ended so that it may go on at another target, if the route and the retry budget allow it. Whether any target or region could take it was not asked.

Change: the timeout asks the placer whether the request could be sent elsewhere, given what was tried, and waits on if not.

The new test fails without the change.

--- a/jacinthfold/gateway/node.py
+++ b/jacinthfold/gateway/node.py
@@ -155,6 +155,7 @@
             self._clock,
         )
         attempts.on_first_event = view.placer.record_first_event
+        attempts.has_alternative = view.placer.has_alternative
         view.placer.on_answer_lag = self.metrics.set_answer_lag
         return attempts
 
--- a/jacinthfold/placement/choice.py
+++ b/jacinthfold/placement/choice.py
@@ -118,6 +118,16 @@
             request, best, (), (), is_retry=False, is_waiting=is_waiting
         )
 
+    def has_alternative(
+        self,
+        request: Request,
+        tried: Collection[str],
+        tried_regions: Collection[str],
+    ) -> bool:
+        """Tell whether a request could be sent elsewhere now."""
+        choice = self.choose(request, tried, tried_regions, is_waiting=True)
+        return not isinstance(choice, Reject)
+
     def record_sent(self, choice: SendTo, request: Request) -> None:
         """Count a request that is sent to a target."""
         target = choice.estimate.target
--- a/jacinthfold/proxy/attempts.py
+++ b/jacinthfold/proxy/attempts.py
@@ -1,7 +1,7 @@
 """Make one attempt: send a request to a target or to another region's host."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from functools import partial
 from typing import Protocol
 
@@ -79,6 +79,11 @@
         self.on_first_event: Callable[[Request, Estimate, float], None] = (
             _ignore_first_event
         )
+        # Tells whether a request could be sent elsewhere now, given the targets
+        # and regions that were tried.
+        self.has_alternative: Callable[
+            [Request, Collection[str], Collection[str]], bool
+        ] = _always
         # Called when a request has ended at a target, however it ended: its
         # place is free again.
         self.on_place_freed: Callable[[Target], None] | None = None
@@ -103,7 +108,10 @@
             source_address = estimate.copy_source.record.address
             headers.extend(self._dialect.prefix_copy_headers(source_address))
         timeout = self._response_timeout(
-            request, progress, lambda: target.last_received_at
+            request,
+            progress,
+            lambda: target.last_received_at,
+            target=target.record.instance,
         )
         delivery = Delivery(request, response, progress, timeout, self._clock)
         attempt = self._crash_detector.start_attempt(
@@ -174,7 +182,10 @@
             )
         )
         timeout = self._response_timeout(
-            request, progress, lambda: self._hosts.heard_at(host.name)
+            request,
+            progress,
+            lambda: self._hosts.heard_at(host.name),
+            region=region.name,
         )
         delivery = Delivery(request, response, progress, timeout, self._clock)
         delivery.is_peer = True
@@ -199,6 +210,9 @@
         request: Request,
         progress: Progress,
         last_activity_at: Callable[[], float],
+        *,
+        target: str = '',
+        region: str = '',
     ) -> ResponseTimeout:
         objective_seconds = request.route.latency_objective_seconds
         soft_seconds = max(
@@ -213,14 +227,28 @@
             None if is_unrepeatable else soft_seconds,
             hard_seconds,
             last_activity_at,
-            lambda: self._may_fail_over(request, progress),
+            lambda: self._may_fail_over(
+                request,
+                progress,
+                {*progress.tried, target},
+                {*progress.tried_regions, region},
+            ),
             self._clock,
         )
 
-    def _may_fail_over(self, request: Request, progress: Progress) -> bool:
+    def _may_fail_over(
+        self,
+        request: Request,
+        progress: Progress,
+        tried: Collection[str],
+        tried_regions: Collection[str],
+    ) -> bool:
         if progress.runs + 1 >= request.route.max_attempts:
             return False
-        return self._budgets.can_spend(request.service_name)
+        if not self._budgets.can_spend(request.service_name):
+            return False
+        # Otherwise an answer of a target that is only slow would be lost.
+        return self.has_alternative(request, tried, tried_regions)
 
     async def _connect_and_send(
         self,
@@ -382,3 +410,9 @@
     _request: Request, _estimate: Estimate, _seconds: float
 ) -> None:
     """Do nothing with the time to a first event."""
+
+
+def _always(
+    _request: Request, _tried: Collection[str], _regions: Collection[str]
+) -> bool:
+    return True
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -134,6 +134,23 @@
     assert answer.body == events(1, 5)
 
 
+def test_silent_engine_is_not_left_when_no_other_can_take_the_stream(engines):
+    """Guards against a stream that is ended for a pause and goes on nowhere.
+
+    The engine sends one event, pauses for longer than the timeout of pauses and
+    goes on. The route allows a second attempt, but the other engine is gone.
+    """
+    engines.targets['i-1'].script = standin.stream(2, pause_seconds=1.5)
+    engines.store.remove('servers/i-2')
+    wait_until(
+        lambda: 'event=target_gone' in engines.hosts['north-a'].log(),
+        'the host has dropped the other engine',
+    )
+    answer = send_prompt(engines, '/review/1', seconds=10)
+    assert answer.is_whole
+    assert answer.body == events(1, 2)
+
+
 def test_busy_engine_is_not_left_for_another(engines):
     """An engine streams to others and begins this response after two seconds.
 
