--- a/tools/ablations/decisions.py
+++ b/tools/ablations/decisions.py
@@ -5,6 +5,18 @@
 GATEWAY = 'tests/gateway/'
 
 DECISIONS = [
+    Ablation(
+        'gateway: a silent target is left only for one that can take over',
+        [
+            (
+                'gateway/node.py',
+                '        attempts.has_alternative = view.placer.has_alternative\n',
+                '',
+            )
+        ],
+        GATEWAY
+        + 'test_streams.py::test_silent_engine_is_not_left_when_no_other_can_take_the_stream',
+    ),
     Ablation(
         'gateway: the measured speed of a plain target expires',
         [
