--- a/jacinthfold/catalogue/records.py
+++ b/jacinthfold/catalogue/records.py
@@ -150,6 +150,12 @@
         # A list older than the current records would restore removed ones,
         # and requests would be sent to targets that are gone.
         if revision < self.revision:
+            logs.warning(
+                'records_outdated',
+                revision=revision,
+                known=self.revision,
+                learned_from=source,
+            )
             return
         # Removals before the list was read are not in it.
         self._removals_since = max(self._removals_since, revision)
