Reproduce the incident: a store that comes back from a copy

The stand-in of the store can be backed up and restored. As the platform's new term says, it then tells a higher era in each answer, gives out its revisions again and answers 410 to a watch from a revision that it doesn't have.

The test fails on this code: a route added after the return answers 404 three seconds later.

--- a/tests/gateway/store_standin.py
+++ b/tests/gateway/store_standin.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import base64
+import collections
+import copy
 import json
 from urllib.parse import parse_qs, urlsplit
 
@@ -23,6 +25,11 @@
         self.is_away = False
         self.loses_answers = False
         self.waiting_watches = 0
+        # None: the header is not sent.
+        self.era = None
+        # Calls by path, also those that are refused.
+        self.calls = collections.Counter()
+        self._restore_count = 0
         self._changed = asyncio.Condition()
 
     def put(self, key, document):
@@ -55,9 +62,37 @@
         self.compacted_below = self.revision
         self.history.clear()
 
+    def backup(self):
+        """Return a copy of the store's state."""
+        return self.loop_call(self._backup)
+
+    def _backup(self):
+        state = self.revision, self.items, self.history, self.leases
+        return copy.deepcopy(state)
+
+    def restore(self, backup):
+        """Come back from a copy; all that was written since is gone."""
+        self.loop_call(self.restore_now, backup)
+
+    def restore_now(self, backup):
+        """Restore a copy; call it in the loop."""
+        state = copy.deepcopy(backup)
+        self.revision, self.items, self.history, self.leases = state
+        self.era = (self.era or 0) + 1
+        self._restore_count += 1
+        asyncio.get_running_loop().create_task(self._wake())
+
     async def reply(self, request):
         if self.is_down or self.is_away:
             return None
+        era = self.era
+        answer = await self._answer(request)
+        if answer is not None and era is not None:
+            # A watch that waited tells the era in which it was answered.
+            answer.headers.append(('Store-Era', str(self.era)))
+        return answer
+
+    async def _answer(self, request):
         parts = urlsplit(request.target)
         query = {
             name: found[0]
@@ -67,6 +102,7 @@
         }
         body = json.loads(request.body) if request.body else {}
         call = parts.path.removeprefix('/api/').split('/')
+        self.calls[call[0]] += 1
         answer = await getattr(self, f'_{call[0].replace("-", "_")}')(
             query, body, *call[1:]
         )
@@ -91,18 +127,24 @@
 
     async def _kv_watch(self, query, _body):
         after = int(query['after'])
-        if after < self.compacted_below:
+        if after < self.compacted_below or after > self.revision:
             return Reply(410)
+        restored = self._restore_count
         self.waiting_watches += 1
         try:
             async with asyncio.timeout(int(query['wait-ms']) / 1000):
                 async with self._changed:
-                    await self._changed.wait_for(lambda: self.revision > after)
+                    await self._changed.wait_for(
+                        lambda: (
+                            self.revision > after
+                            or self._restore_count > restored
+                        )
+                    )
         except TimeoutError:
             pass
         finally:
             self.waiting_watches -= 1
-        if after < self.compacted_below:
+        if after < self.compacted_below or self._restore_count > restored:
             return Reply(410)
         events = [one for one in self.history if one['revision'] > after]
         return _json({'events': events, 'store-revision': self.revision})
@@ -119,7 +161,7 @@
         return _json({'revision': self.revision})
 
     async def _kv_lease(self, _query, body):
-        lease = len(self.leases) + 1
+        lease = max(self.leases, default=0) + 1
         self.leases[lease] = body['ttl-ms']
         return _json({'lease': lease, 'ttl-ms': body['ttl-ms']})
 
--- /dev/null
+++ b/tests/gateway/test_store_restored.py
@@ -0,0 +1,59 @@
+"""A store that comes back from a copy and gives out revisions again."""
+
+from tests.gateway.deployment import pause, route, wait_served
+
+# Time within which the smallest deployments ask for a change to take effect.
+PROMISED_SECONDS = 3.0
+# The smallest store allows 2,000 reads a second; a hundred hosts may share it.
+MAX_CALLS_PER_SECOND = 20
+
+
+def write_on(deployment, count):
+    """Raise the store's revision, as the records of targets do."""
+    for seq in range(count):
+        deployment.put_target('i-9', 'model', seq=seq)
+
+
+def change_after_restore(deployment, writes):
+    """Restore the store, change routes and targets, and let the time pass."""
+    store = deployment.store
+    store.era = 1
+    for instance in ('i-1', 'i-2'):
+        deployment.add_target(instance, 'desk')
+    deployment.add_target('i-9', 'model')
+    deployment.put_routes(route('/a/'), route('/gone/'))
+    deployment.start_host('one')
+    wait_served(deployment, 'one', '/a/')
+    backup = store.backup()
+    write_on(deployment, 12)
+    deployment.put_routes(route('/a/'), route('/gone/'), route('/b/'))
+    wait_served(deployment, 'one', '/b/')
+    store.restore(backup)
+    store.calls.clear()
+    deployment.put_routes(route('/a/'), route('/b/'), route('/c/'))
+    deployment.put_target('i-1', 'desk', state='draining')
+    write_on(deployment, writes)
+    pause(PROMISED_SECONDS)
+
+
+def check_in_force(deployment):
+    """Check that the changes took effect, at a bounded number of calls."""
+    calls = deployment.store.calls.total()
+    executed = deployment.targets['i-1'].executed
+    before = len(executed)
+    for _ in range(8):
+        assert deployment.ask('one', '/a/').status == 200
+    assert len(executed) == before
+    assert deployment.ask('one', '/c/').status == 200
+    assert deployment.ask('one', '/gone/').status == 404
+    assert calls <= MAX_CALLS_PER_SECOND * PROMISED_SECONDS
+
+
+def test_changes_take_effect_after_the_store_returned(deployment):
+    """Guards against comparing revisions given out again with earlier ones.
+
+    Hosts dropped every list as outdated and skipped what was written below the
+    revision that they knew: a removed route was served, a leaving target used.
+    """
+    change_after_restore(deployment, writes=0)
+    check_in_force(deployment)
