--- a/tests/gateway/test_knowledge.py
+++ b/tests/gateway/test_knowledge.py
@@ -194,7 +194,7 @@
     )
     ready_deployment.start_host('north-b', seeds=seed)
     assert ready_deployment.ask('north-b', '/order/1').status == 200
-    assert 'event=snapshot_taken' in ready_deployment.hosts['north-b'].log()
+    ready_deployment.wait_log('north-b', 'event=snapshot_taken')
 
 
 def test_host_cut_off_from_the_store_takes_a_snapshot_of_another(
