--- a/jacinthfold/catalogue/follower.py
+++ b/jacinthfold/catalogue/follower.py
@@ -7,13 +7,16 @@
 from jacinthfold import logs
 from jacinthfold.catalogue.host_codec import encode_host
 from jacinthfold.catalogue.metadata import (
+    Lease,
     LeaseLostError,
     MetadataError,
     MetadataHistoryLostError,
     MetadataStore,
 )
 from jacinthfold.catalogue.model import HostRecord
+from jacinthfold.catalogue.record import Record
 from jacinthfold.catalogue.records import Catalogue
+from jacinthfold.catalogue.revision import counter_of, era_of, log_fields
 from jacinthfold.clock import Clock
 
 # A dead connection is noticed after this and the store's own timeout. Shorter
@@ -49,6 +52,8 @@
         self.is_reached = False
         self._is_watching = True
         self._failed_count = 0
+        # Whether no watch has succeeded since the store refused one.
+        self._has_lost_history = False
         # Whether this host watches the store itself.
         self.watches: Callable[[], bool] = lambda: True
         # Whether it watches only in case another host stops.
@@ -59,15 +64,29 @@
         while True:
             try:
                 await self._step()
-            except MetadataHistoryLostError:
-                logs.warning(
-                    'store_history_lost', since=self._catalogue.revision
-                )
-                self._is_listed = False
+            except MetadataHistoryLostError as error:
+                await self._handle_lost_history(error)
             except MetadataError as error:
                 self._record_lost(error)
                 await asyncio.sleep(self._retry_delay_seconds())
 
+    async def _handle_lost_history(
+        self, error: MetadataHistoryLostError
+    ) -> None:
+        revision = self._catalogue.revision
+        logs.warning(
+            'store_history_lost',
+            since=counter_of(revision),
+            era=era_of(revision),
+            store_era=self._store.era,
+            reason=str(error),
+        )
+        self._is_listed = False
+        if self._has_lost_history:
+            # A list did not help, and each call is charged.
+            await asyncio.sleep(self._retry_delay_seconds())
+        self._has_lost_history = True
+
     async def _step(self) -> None:
         if not self._is_listed:
             requested_at = self._clock.boottime()
@@ -83,9 +102,9 @@
             return
         since = self._catalogue.revision
         requested_at = self._clock.boottime()
-        changes, revision = await self._store.changes_since(
-            since, WATCH_TIMEOUT_SECONDS
-        )
+        changes, revision = await self._watch(since)
+        self._has_lost_history = False
+        self._failed_count = 0
         self._record_reached()
         self._catalogue.apply(changes, revision)
         if changes:
@@ -99,13 +118,35 @@
                 else BATCH_DELAY_SECONDS
             )
 
+    async def _watch(self, since: int) -> tuple[list[Record], int]:
+        """Return changes; raise MetadataHistoryLostError in another era."""
+        # The connection of the watch may hang while other calls tell the era.
+        watch = asyncio.ensure_future(
+            self._store.changes_since(since, WATCH_TIMEOUT_SECONDS)
+        )
+        restored = asyncio.ensure_future(
+            self._store.wait_era_above(era_of(since))
+        )
+        try:
+            await asyncio.wait(
+                {watch, restored}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if watch.done():
+                return watch.result()
+            raise MetadataHistoryLostError(
+                f'the store is in era {self._store.era}'
+            )
+        finally:
+            watch.cancel()
+            restored.cancel()
+
     def _update_watching(self, *, is_watching: bool) -> None:
         if is_watching is not self._is_watching:
             self._is_watching = is_watching
             logs.event(
                 'store_watch',
                 is_watching=is_watching,
-                revision=self._catalogue.revision,
+                **log_fields(self._catalogue.revision),
             )
 
     def _retry_delay_seconds(self) -> float:
@@ -116,11 +157,12 @@
         )
 
     def _record_reached(self) -> None:
-        self._failed_count = 0
+        if not self._has_lost_history:
+            self._failed_count = 0
         self.reached_at = self._clock.monotonic()
         if not self.is_reached:
             self.is_reached = True
-            logs.event('store_reached', revision=self._catalogue.revision)
+            logs.event('store_reached', **log_fields(self._catalogue.revision))
 
     def _record_lost(self, error: MetadataError) -> None:
         if self.is_reached:
@@ -128,7 +170,7 @@
             logs.warning(
                 'store_lost',
                 reason=str(error),
-                revision=self._catalogue.revision,
+                **log_fields(self._catalogue.revision),
             )
 
 
@@ -139,7 +181,7 @@
         """Initialize the registration of this host's record."""
         self._store = store
         self._own = own
-        self._lease = 0
+        self._lease: Lease | None = None
         self._has_left = False
         self.is_reached = True
 
@@ -149,10 +191,11 @@
             try:
                 await self._step()
                 self.is_reached = True
-            except LeaseLostError:
-                logs.warning('registration_lost', lease=self._lease)
-                self._lease = 0
-                continue
+            except LeaseLostError as error:
+                logs.warning('registration_lost', reason=str(error))
+                if self._lease is not None:
+                    self._lease = None
+                    continue
             except MetadataError as error:
                 self.is_reached = False
                 logs.warning('registration_failed', reason=str(error))
--- a/jacinthfold/catalogue/freshness.py
+++ b/jacinthfold/catalogue/freshness.py
@@ -9,11 +9,15 @@
 
 from collections import deque
 
+from jacinthfold.catalogue.revision import era_of
 from jacinthfold.clock import Clock
 
 # Answers that name a revision which has not arrived yet. The newest ones are
 # enough, because each proves more than those before it.
 MAX_PENDING_PROOFS = 8
+# After the store came back from a copy, what was acknowledged before is written
+# again within this time. Until then its revision proves nothing.
+REPEAT_SECONDS = 2.0
 
 
 class FreshnessProof:
@@ -30,13 +34,20 @@
 class Freshness:
     """Hold the newest freshness proof of this host's records."""
 
-    __slots__ = ('_clock', '_known_revision', '_pending', 'proof')
+    __slots__ = (
+        '_clock',
+        '_known_revision',
+        '_pending',
+        '_unproven_until',
+        'proof',
+    )
 
     def __init__(self, clock: Clock) -> None:
         """Start without a proof."""
         self._clock = clock
         self._known_revision = 0
         self._pending: deque[FreshnessProof] = deque(maxlen=MAX_PENDING_PROOFS)
+        self._unproven_until = float('-inf')
         self.proof = FreshnessProof(float('-inf'), 0)
 
     @property
@@ -49,6 +60,11 @@
         """Return whether the store is known to be ahead of this host."""
         return bool(self._pending)
 
+    @property
+    def is_unproven(self) -> bool:
+        """Return whether the store may not have all changes again yet."""
+        return self._clock.boottime() < self._unproven_until
+
     def age_before(self, revision: int) -> float:
         """Return the maximum age of the change that made a revision.
 
@@ -66,7 +82,10 @@
 
     def record_revision(self, as_of: float, revision: int) -> None:
         """Record the store's revision at the time a request was sent."""
-        if as_of <= self.proof.as_of:
+        if as_of <= max(self.proof.as_of, self._unproven_until):
+            return
+        # Counters of an earlier era say nothing about this one.
+        if era_of(revision) < era_of(self._known_revision):
             return
         if revision > self._known_revision:
             self._pending.append(FreshnessProof(as_of, revision))
@@ -75,7 +94,10 @@
 
     def advance(self, revision: int) -> None:
         """Record that all changes up to a revision have been applied."""
-        self._known_revision = max(self._known_revision, revision)
+        known = self._known_revision
+        if known and era_of(revision) > era_of(known):
+            self._unproven_until = self._clock.boottime() + REPEAT_SECONDS
+        self._known_revision = max(known, revision)
         pending = list(self._pending)
         self._pending.clear()
         for proof in pending:
--- a/jacinthfold/catalogue/freshness_checker.py
+++ b/jacinthfold/catalogue/freshness_checker.py
@@ -65,7 +65,7 @@
             limit = MAX_WATCHER_PROOF_AGE_SECONDS
         if not self.has_bounded_keys:
             limit += RELAXED_SECONDS
-        if freshness.age_seconds <= limit:
+        if freshness.is_unproven or freshness.age_seconds <= limit:
             self._behind_since = None
             return
         now = self._clock.boottime()
--- a/jacinthfold/catalogue/host_codec.py
+++ b/jacinthfold/catalogue/host_codec.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from jacinthfold.catalogue.model import HostRecord
-from jacinthfold.catalogue.records import UnreadableRecordError
+from jacinthfold.catalogue.record import UnreadableRecordError
 
 
 class HostDocument(msgspec.Struct):
--- a/jacinthfold/catalogue/metadata.py
+++ b/jacinthfold/catalogue/metadata.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Mapping
 from typing import Protocol
 
-from jacinthfold.catalogue.records import Record
+from jacinthfold.catalogue.record import Record
 
 
 class MetadataError(Exception):
@@ -14,16 +14,42 @@
     """Report that the store dropped the changes since a revision."""
 
 
+class OutdatedAnswerError(MetadataError):
+    """Report an answer of an earlier era of the store."""
+
+
 class MetadataConflictError(MetadataError):
     """Report that a record exists or has another revision."""
 
 
 class LeaseLostError(MetadataError):
-    """Report that a lease has expired."""
+    """Report that a lease has expired, or that the store is in another era."""
+
+
+class Lease:
+    """Identify a lease; the store may give out its number again in an era."""
+
+    __slots__ = ('era', 'number')
+
+    def __init__(self, number: int, era: int) -> None:
+        """Set the number and the era in which it was granted."""
+        self.number = number
+        self.era = era
 
 
 class MetadataStore(Protocol):
-    """List, watch and write records."""
+    """List, watch and write records.
+
+    Revisions are those of the module `revision`. An answer of an earlier era
+    than one before raises OutdatedAnswerError.
+    """
+
+    @property
+    def era(self) -> int:
+        """Return the latest era that an answer named, 0 if none did."""
+
+    async def wait_era_above(self, era: int) -> None:
+        """Return once an answer has named an era above the given one."""
 
     async def list_all(self) -> tuple[list[Record], int]:
         """Return all relevant records and a revision not newer than them."""
@@ -31,25 +57,28 @@
     async def changes_since(
         self, revision: int, wait_seconds: float
     ) -> tuple[list[Record], int]:
-        """Return changes after a revision; wait up to a time for one."""
+        """Return changes after a revision; wait up to a time for one.
+
+        Raise MetadataHistoryLostError if the store is in another era.
+        """
 
     async def current_revision(self) -> int:
         """Return the store's revision, always read from the store."""
 
-    async def grant_lease(self, seconds: float) -> int:
+    async def grant_lease(self, seconds: float) -> Lease:
         """Return a new lease that expires unless it is renewed."""
 
-    async def renew_lease(self, lease: int) -> None:
+    async def renew_lease(self, lease: Lease) -> None:
         """Renew a lease; raise LeaseLostError if it has expired."""
 
-    async def end_lease(self, lease: int) -> None:
+    async def end_lease(self, lease: Lease) -> None:
         """Revoke a lease, which removes the records written under it."""
 
-    async def write_host(self, name: str, content: bytes, lease: int) -> None:
+    async def write_host(self, name: str, content: bytes, lease: Lease) -> None:
         """Write an entry host's record, replacing any earlier one."""
 
     async def claim(
-        self, name: str, content: bytes, *, after: int, lease: int
+        self, name: str, content: bytes, *, after: int, lease: Lease
     ) -> int:
         """Replace an issuer's record if it is at a revision, 0 for none.
 
@@ -58,7 +87,7 @@
         """
 
     async def write_quarantine(
-        self, contents: Mapping[str, bytes], lease: int
+        self, contents: Mapping[str, bytes], lease: Lease
     ) -> None:
         """Write records of requests during which targets crashed."""
 
--- a/jacinthfold/catalogue/origin.py
+++ b/jacinthfold/catalogue/origin.py
@@ -1,6 +1,8 @@
 """Describe where a change of a record came from, and how old it may be."""
 
 STORE_SOURCE = 'store'
+# Nobody repeated it since the store came back from a copy.
+RESTORATION_SOURCE = 'restoration'
 
 
 class ChangeOrigin:
@@ -16,9 +18,9 @@
     ) -> None:
         """Initialize the origin of a change that has just arrived.
 
-        The source is the store or the address of another host. The age counts
-        from the last proof that the change had not been made yet, and is
-        infinite without one.
+        The source is the store, its restoration or the address of another host.
+        The age counts from the last proof that the change had not been made
+        yet, and is infinite without one.
         """
         self.revision = revision
         self.source = source
--- a/jacinthfold/fleet/aggregation.py
+++ b/jacinthfold/fleet/aggregation.py
@@ -195,6 +195,7 @@
         heartbeat.packs,
         heartbeat.digests,
         heartbeat.count,
+        heartbeat.era,
     )
 
 
--- a/jacinthfold/fleet/digest_message.py
+++ b/jacinthfold/fleet/digest_message.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from jacinthfold.catalogue.host_codec import HostDocument
+from jacinthfold.catalogue.revision import make_revision
 from jacinthfold.fleet.heartbeat_message import (
     DIGEST_MARK,
     LoadFigures,
@@ -29,6 +30,12 @@
     supports_digests: bool
     # Number of the heartbeat whose loads the digest's sums include.
     heartbeat_number: int
+    era: int = 0
+
+    @property
+    def catalogue_revision(self) -> int:
+        """Return the revision of the host's catalogue; raise ValueError."""
+        return make_revision(self.era, self.revision)
 
 
 class Digest(msgspec.Struct):
@@ -72,6 +79,7 @@
     trials: dict[str, TrialReport] = {}
     # Freshness proof of the collector.
     proof: ProofReport | None = None
+    proof_era: int = 0
 
 
 class Digests(msgspec.Struct):
--- a/jacinthfold/fleet/digests.py
+++ b/jacinthfold/fleet/digests.py
@@ -200,7 +200,7 @@
 def _status(summary: HostSummary) -> HostStatus:
     return HostStatus(
         summary.state,
-        summary.revision,
+        summary.catalogue_revision,
         reaches_store=summary.reaches_store,
         supports_compression=summary.supports_compression,
         supports_digests=summary.supports_digests,
--- a/jacinthfold/fleet/freshness_exchange.py
+++ b/jacinthfold/fleet/freshness_exchange.py
@@ -9,6 +9,7 @@
 
 from jacinthfold.catalogue.freshness import Freshness
 from jacinthfold.catalogue.model import HostRecord
+from jacinthfold.catalogue.revision import counter_of, era_of, make_revision
 from jacinthfold.clock import Clock
 from jacinthfold.fleet.digest_message import Digest
 from jacinthfold.fleet.heartbeat_message import Heartbeat, ProofReport, Receipt
@@ -66,6 +67,7 @@
             heartbeat.count, self._clock.boottime()
         )
         heartbeat.proof = self._own_report()
+        heartbeat.proof_era = era_of(self._freshness.proof.revision)
         heartbeat.heard_beats = dict(self._heartbeat_receipts)
         heartbeat.heard_digests = dict(self._digest_receipts)
         # Each message is acknowledged once; the next one gives a newer receipt.
@@ -78,6 +80,7 @@
             return
         self._digest_send_times.record(digest.count, self._clock.boottime())
         digest.proof = self._own_report()
+        digest.proof_era = era_of(self._freshness.proof.revision)
 
     def receive_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Apply the proof and receipts of a heartbeat from this region."""
@@ -87,13 +90,12 @@
         receipt = (host.incarnation & _INCARNATION_MASK, heartbeat.count)
         _remember(self._heartbeat_receipts, host.name, receipt)
         own = self._own.name
+        proof = _proof(heartbeat.proof, heartbeat.proof_era)
         self._apply(
-            heartbeat.proof,
-            heartbeat.heard_beats.get(own),
-            self._heartbeat_send_times,
+            proof, heartbeat.heard_beats.get(own), self._heartbeat_send_times
         )
         digest_receipt = heartbeat.heard_digests.get(own)
-        self._apply(heartbeat.proof, digest_receipt, self._digest_send_times)
+        self._apply(proof, digest_receipt, self._digest_send_times)
 
     def receive_digest(self, digest: Digest) -> None:
         """Apply the proof of a digest from this data centre."""
@@ -108,7 +110,9 @@
                     summary.heartbeat_number,
                 )
                 self._apply(
-                    digest.proof, own_receipt, self._heartbeat_send_times
+                    _proof(digest.proof, digest.proof_era),
+                    own_receipt,
+                    self._heartbeat_send_times,
                 )
 
     def _apply(
@@ -131,7 +135,14 @@
             return None
         # Rounded up, because a proof must not seem newer than it is.
         age_ms = int(age_seconds * _MS) + 1
-        return age_ms, self._freshness.proof.revision
+        return age_ms, counter_of(self._freshness.proof.revision)
+
+
+def _proof(report: ProofReport | None, era: int) -> ProofReport | None:
+    """Return the age and the revision of a report; raise ValueError."""
+    if report is None:
+        return None
+    return report[0], make_revision(era, report[1])
 
 
 def _remember(
--- a/jacinthfold/fleet/heartbeat_builder.py
+++ b/jacinthfold/fleet/heartbeat_builder.py
@@ -5,6 +5,7 @@
 
 from jacinthfold.catalogue.host_codec import document_from_host
 from jacinthfold.catalogue.records import Catalogue
+from jacinthfold.catalogue.revision import counter_of, era_of
 from jacinthfold.clock import Clock
 from jacinthfold.fleet.heartbeat_message import (
     CapacityFigures,
@@ -80,13 +81,14 @@
         return Heartbeat(
             self._own,
             self._hosts.own_state,
-            self._catalogue.revision,
+            counter_of(self._catalogue.revision),
             self.reaches_store(),
             {},
             {},
             packs=True,
             digests=True,
             count=count,
+            era=era_of(self._catalogue.revision),
         )
 
     def _loads(self) -> dict[str, LoadFigures]:
--- a/jacinthfold/fleet/heartbeat_message.py
+++ b/jacinthfold/fleet/heartbeat_message.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from jacinthfold.catalogue.host_codec import HostDocument
+from jacinthfold.catalogue.revision import make_revision
 from jacinthfold.fleet.table import HostState
 from jacinthfold.placement.failure_rate import TrialReport
 from jacinthfold.placement.request_limit import LimitReport
@@ -20,7 +21,7 @@
 LoadFigures = tuple[int, int, int, int]
 # Wait of ordinary and of urgent requests in seconds, number of targets.
 CapacityFigures = tuple[float, float, int]
-# Age of the sender's freshness proof in milliseconds, and its revision.
+# Age of the sender's freshness proof in milliseconds, and the store's counter.
 ProofReport = tuple[int, int]
 # Low bits of the sender's incarnation and number of a received message.
 Receipt = tuple[int, int]
@@ -64,6 +65,14 @@
     proof: ProofReport | None = None
     heard_beats: dict[str, Receipt] = {}
     heard_digests: dict[str, Receipt] = {}
+    # Era of the revision, which is the store's counter.
+    era: int = 0
+    proof_era: int = 0
+
+    @property
+    def catalogue_revision(self) -> int:
+        """Return the revision of the sender's catalogue; raise ValueError."""
+        return make_revision(self.era, self.revision)
 
 
 # Bytes common to most heartbeats. Both sides must use the same ones, so a
--- a/jacinthfold/fleet/heartbeats.py
+++ b/jacinthfold/fleet/heartbeats.py
@@ -274,7 +274,7 @@
         self._hosts.record_heartbeat(
             host,
             heartbeat.state,
-            heartbeat.revision,
+            heartbeat.catalogue_revision,
             reaches_store=heartbeat.store,
             supports_compression=heartbeat.packs,
             supports_digests=heartbeat.digests,
--- a/jacinthfold/fleet/snapshots.py
+++ b/jacinthfold/fleet/snapshots.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import itertools
 import json
 import random
 import zlib
@@ -10,7 +11,14 @@
 from urllib.parse import parse_qs, urlsplit
 
 from jacinthfold import logs
-from jacinthfold.catalogue.records import Catalogue, Record
+from jacinthfold.catalogue.record import Record
+from jacinthfold.catalogue.records import Catalogue
+from jacinthfold.catalogue.revision import (
+    counter_of,
+    era_of,
+    log_fields,
+    make_revision,
+)
 from jacinthfold.clock import Clock
 from jacinthfold.fleet.table import HostTable
 from jacinthfold.transport.errors import ProxyError
@@ -100,7 +108,11 @@
     async def _fetch_from(self, endpoint: Endpoint) -> bool:
         peer = f'{endpoint[0]}:{endpoint[1]}'
         try:
-            path = f'{SNAPSHOT_PATH}?since={self._catalogue.revision}&packed=1'
+            since = self._catalogue.revision
+            path = (
+                f'{SNAPSHOT_PATH}?since={counter_of(since)}'
+                f'&era={era_of(since)}&packed=1'
+            )
             content = await self._http_client.get(
                 endpoint, path, CALL_TIMEOUT_SECONDS
             )
@@ -113,8 +125,8 @@
         logs.event(
             'snapshot_taken',
             peer=peer,
-            revision=snapshot.revision,
-            before=self._catalogue.revision,
+            **log_fields(snapshot.revision),
+            before=counter_of(self._catalogue.revision),
             whole=snapshot.is_whole,
         )
         if snapshot.is_whole:
@@ -158,37 +170,46 @@
     """
     changed = catalogue.changes_since(since) if since else None
     records = catalogue.records() if changed is None else changed
-    document = {
-        'revision': catalogue.revision,
+    era = era_of(catalogue.revision)
+    document: dict[str, Any] = {
+        'revision': counter_of(catalogue.revision),
+        'era': era,
         'whole': changed is None,
         'records': [
-            [record.key, record.revision, _encoded(record.content)]
+            [record.key, counter_of(record.revision), _encoded(record.content)]
             for record in records
         ],
     }
+    eras = [era_of(record.revision) for record in records]
+    if any(one != era for one in eras):
+        # Hosts of the previous version expect three items for each record.
+        document['eras'] = eras
     return json.dumps(document, separators=(',', ':')).encode()
 
 
 class CompressedSnapshots:
-    """Cache compressed snapshots of the current revision."""
+    """Cache compressed snapshots of the current records."""
 
     # A configuration of 1,300 routes has 0.5 MB. When fourteen hosts fetched
     # it at once over a link of 5 Mbit/s, all transfers timed out and the hosts
     # used the earlier one for over five seconds. Compression reduces it to a
     # twentieth.
 
-    __slots__ = ('_catalogue', '_cache', '_revision')
+    __slots__ = ('_catalogue', '_cache', '_state')
 
     def __init__(self, catalogue: Catalogue) -> None:
         """Initialize an empty cache for a catalogue."""
         self._catalogue = catalogue
-        self._revision = -1
+        self._state: tuple[int, int] | None = None
         self._cache: dict[int, bytes] = {}
 
     def since(self, revision: int) -> bytes:
         """Return a compressed snapshot of changes after a revision."""
-        if self._revision != self._catalogue.revision:
-            self._revision = self._catalogue.revision
+        # Records that nobody repeats after the store came back are dropped at
+        # the same revision.
+        state = (self._catalogue.revision, self._catalogue.dropped_count)
+        if self._state != state:
+            self._state = state
             self._cache.clear()
         if revision not in self._cache:
             content = encode_snapshot(self._catalogue, revision)
@@ -205,24 +226,43 @@
     if not content.startswith(b'{'):
         content = _decompressed(content)
     document: dict[str, Any] = json.loads(content)
+    # Hosts of the previous version tell no era.
+    era = document.get('era', 0)
+    rows = document['records']
+    eras = document.get('eras') or itertools.repeat(era, len(rows))
     records = [
-        Record(key, revision, _decoded(encoded))
-        for key, revision, encoded in document['records']
+        Record(key, make_revision(row_era, counter), _decoded(encoded))
+        for (key, counter, encoded), row_era in zip(rows, eras, strict=True)
     ]
-    return Snapshot(records, document['revision'], is_whole=document['whole'])
+    revision = make_revision(era, document['revision'])
+    return Snapshot(records, revision, is_whole=document['whole'])
 
 
 class SnapshotQuery:
     """Hold the query of a snapshot request."""
 
-    __slots__ = ('accepts_compressed', 'since')
+    __slots__ = ('_era', 'accepts_compressed', 'since')
 
     def __init__(self, target: str) -> None:
         """Parse a request target; raise ValueError if it is malformed."""
         query = parse_qs(urlsplit(target).query)
+        # The store's counter; 0 asks for all records.
         self.since = int(query.get('since', ['0'])[0])
+        make_revision(0, self.since)
+        # Hosts of the previous version tell no era.
+        self._era = int(query['era'][0]) if 'era' in query else None
         self.accepts_compressed = 'packed' in query
 
+    def start_at(self, revision: int) -> int:
+        """Return after which revision a catalogue's changes are needed.
+
+        It is 0 if the sender is in another era, as all records are needed then.
+        """
+        era = era_of(revision)
+        if not self.since or self._era not in {None, era}:
+            return 0
+        return make_revision(era, self.since)
+
 
 def _decompressed(content: bytes) -> bytes:
     try:
--- a/jacinthfold/fleet/table.py
+++ b/jacinthfold/fleet/table.py
@@ -5,6 +5,7 @@
 
 from jacinthfold import logs
 from jacinthfold.catalogue.model import HostRecord
+from jacinthfold.catalogue.revision import era_of, log_fields
 from jacinthfold.clock import Clock
 
 # Heartbeats come every 200 ms within a region and every 400 ms across regions.
@@ -205,13 +206,17 @@
         entry = self._entries.get(name)
         return entry.heard_at if entry else float('-inf')
 
-    def reaching_store(self, data_centre: str) -> list[str]:
-        """Return names of a data centre's active hosts that reach the store."""
+    def reaching_store(self, data_centre: str, era: int = 0) -> list[str]:
+        """Return names of a data centre's active hosts that reach the store.
+
+        Hosts that know only an earlier era of it are left out.
+        """
         return [
             entry.record.name
             for entry in self._entries.values()
             if entry.record.data_centre == data_centre
             and entry.status.reaches_store
+            and era_of(entry.status.revision) >= era
             and entry.state is HostState.ACTIVE
             and self._is_live(entry)
         ]
@@ -287,7 +292,7 @@
                 peer=entry.record.name,
                 region=entry.record.region,
                 state=status.state.value,
-                revision=status.revision,
+                **log_fields(status.revision),
             )
         # A late datagram must not make a leaving host active again.
         if entry.state is HostState.LEAVING and was_live:
--- a/jacinthfold/fleet/watchers.py
+++ b/jacinthfold/fleet/watchers.py
@@ -5,6 +5,8 @@
 others see in heartbeats that a watcher is ahead and fetch the changes from it.
 """
 
+from collections.abc import Callable
+
 from jacinthfold.fleet.table import HostTable
 from jacinthfold.hashing import rank
 
@@ -23,6 +25,8 @@
     def __init__(self, hosts: HostTable) -> None:
         """Initialize the selection among the hosts of a table."""
         self._hosts = hosts
+        # The era of the store that this host knows.
+        self.own_era: Callable[[], int] = int
 
     def own_watches(self) -> bool:
         """Return whether this host must watch the store now."""
@@ -46,7 +50,8 @@
 
     def _ranked_candidates(self) -> list[str]:
         # Only live hosts that reach the store can watch for others. If they
-        # fail or lose the store, the next ones in order take over.
+        # fail or lose the store, the next ones in order take over. Hosts that
+        # haven't noticed its return from a copy pass on nothing new.
         own = self._hosts.own
-        candidates = self._hosts.reaching_store(own.data_centre)
+        candidates = self._hosts.reaching_store(own.data_centre, self.own_era())
         return rank(own.data_centre, {own.name, *candidates})
--- a/jacinthfold/gateway/adapter.py
+++ b/jacinthfold/gateway/adapter.py
@@ -5,7 +5,7 @@
 
 from jacinthfold.catalogue.metadata import MetadataStore
 from jacinthfold.catalogue.model import HostRecord
-from jacinthfold.catalogue.records import RecordReader
+from jacinthfold.catalogue.record import RecordReader
 from jacinthfold.transport.dialect import Dialect
 
 
--- a/jacinthfold/gateway/cluster_view.py
+++ b/jacinthfold/gateway/cluster_view.py
@@ -5,15 +5,15 @@
 from typing import Any
 
 from jacinthfold import logs
+from jacinthfold.catalogue import host_codec, record
 from jacinthfold.catalogue.follower import Follower, Registration
-from jacinthfold.catalogue.host_codec import decode_host
 from jacinthfold.catalogue.model import (
     CallerLimits,
     HostRecord,
     RouteTable,
     TargetRecord,
 )
-from jacinthfold.catalogue.records import Catalogue, Record
+from jacinthfold.catalogue.records import Catalogue
 from jacinthfold.clock import Clock
 from jacinthfold.fleet.heartbeats import Heartbeats
 from jacinthfold.fleet.snapshots import SnapshotFetcher
@@ -59,7 +59,9 @@
         self.pool = ConnectionPool(clock)
         self.hosts = HostTable(own, clock)
         self.targets = TargetTable(settings.data_centres, clock)
-        self.catalogue = Catalogue(adapter.reader, decode_host, clock)
+        self.catalogue = Catalogue(
+            adapter.reader, host_codec.decode_host, clock
+        )
         self.catalogue.subscribe(self)
         self.targets.origin = lambda: self.catalogue.origin
         self.targets.knowledge_age = lambda: (
@@ -98,6 +100,7 @@
             self.hosts, self.catalogue, http_client, clock
         )
         watchers = Watchers(self.hosts)
+        watchers.own_era = lambda: self.catalogue.era
         self.follower.watches = watchers.own_watches
         self.follower.is_standby = watchers.own_is_standby
         self.snapshots.watches = watchers.own_watches
@@ -165,15 +168,20 @@
         """Apply a quarantine record of requests that crashed targets."""
         self.quarantine.apply_record(name, content)
 
-    def on_issuer(self, name: str, record: Record) -> None:
+    def on_issuer(self, name: str, issuer: record.Record) -> None:
         """Apply the record of the host that issues cap shares, if any."""
-        self.organisations.quota.issuers.apply_record(name, record)
+        self.organisations.quota.issuers.apply_record(name, issuer)
+
+    def on_restored(self) -> None:
+        """Write again what a store that came back from a copy has lost."""
+        self.quarantine.write_again()
 
     async def run_housekeeping(self) -> None:
         """Activate the host and drop expired state until cancelled."""
         while True:
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
             self.targets.resume_guard.tick()
+            self.catalogue.settle()
             self._activate_when_ready()
             self._refresh_hosts_when_due()
             self._refresh_place_shares()
@@ -191,7 +199,8 @@
         return {
             'host': self.own.name,
             'state': self.hosts.own_state.value,
-            'revision': self.catalogue.revision,
+            **self.catalogue.revision_fields(),
+            'store_restorations': self.catalogue.restoration_count,
             'revision_age_seconds': now - self.catalogue.changed_at,
             'store_reached': self.follower.is_reached,
             'version': table.version if table else None,
@@ -252,7 +261,7 @@
         # Not sent to all hosts: if 195 hosts start together, each would
         # receive 194 heartbeats at once.
         self.heartbeats.send_heartbeats()
-        logs.event('host_ready', revision=self.catalogue.revision)
+        logs.event('host_ready', **self.catalogue.revision_fields())
 
     def _refresh_hosts_when_due(self) -> None:
         now = self._clock.monotonic()
--- a/jacinthfold/gateway/handlers.py
+++ b/jacinthfold/gateway/handlers.py
@@ -100,9 +100,10 @@
         await response.send(HTTPStatus.OK, JSON_HEADERS, body)
 
     def _snapshot(self, query: SnapshotQuery) -> bytes:
+        since = query.start_at(self._catalogue.revision)
         if query.accepts_compressed:
-            return self._compressed_snapshots.since(query.since)
-        return encode_snapshot(self._catalogue, query.since)
+            return self._compressed_snapshots.since(since)
+        return encode_snapshot(self._catalogue, since)
 
 
 class MetricsHandler:
--- a/jacinthfold/gateway/node.py
+++ b/jacinthfold/gateway/node.py
@@ -65,9 +65,7 @@
         self._view = ClusterView(own, settings, adapter, http_client, clock)
         self._build_listeners(adapter)
         self.metrics.in_flight.set_function(self._in_flight_count)
-        self.metrics.store_revision.set_function(
-            lambda: self._view.catalogue.revision
-        )
+        self.metrics.store.follow(self._view.catalogue)
         self.metrics.dropped_log_lines.set_function(logs.dropped_line_count)
         self._view.targets.on_failure_event = lambda service, event: (
             self.metrics.target_failure_events.labels(service, event).inc()
--- a/jacinthfold/placement/target.py
+++ b/jacinthfold/placement/target.py
@@ -5,6 +5,7 @@
 from jacinthfold import logs
 from jacinthfold.catalogue.model import TargetRecord
 from jacinthfold.catalogue.origin import ChangeOrigin
+from jacinthfold.catalogue.revision import log_fields
 from jacinthfold.placement import limits
 from jacinthfold.placement.concurrency_limit import ConcurrencyLimit
 from jacinthfold.placement.failure_rate import FailureRate
@@ -238,7 +239,7 @@
             source='record',
             draining=is_draining,
             remaining_seconds=remaining_seconds,
-            revision=origin.revision,
+            **log_fields(origin.revision),
             learned_from=origin.source,
             age_seconds=age_seconds,
         )
@@ -266,7 +267,7 @@
         logs.event(
             'send_rejected_leaving',
             target=self.record.instance,
-            revision=origin.revision,
+            **log_fields(origin.revision),
             learned_from=origin.source,
             learned_seconds_ago=now - heard_at,
             age_seconds=origin.age_seconds,
--- a/jacinthfold/platform/documents.py
+++ b/jacinthfold/platform/documents.py
@@ -11,7 +11,7 @@
     Service,
     TargetRecord,
 )
-from jacinthfold.catalogue.records import RecordKind, UnreadableRecordError
+from jacinthfold.catalogue.record import RecordKind, UnreadableRecordError
 from jacinthfold.platform import target_records
 from jacinthfold.platform.organisations import read_organisations
 
--- a/jacinthfold/platform/store.py
+++ b/jacinthfold/platform/store.py
@@ -8,19 +8,29 @@
 from urllib.parse import urlencode
 
 from jacinthfold import logs
+from jacinthfold.catalogue.eras import EraTracker
 from jacinthfold.catalogue.metadata import (
+    Lease,
     LeaseLostError,
     MetadataConflictError,
     MetadataError,
     MetadataHistoryLostError,
 )
-from jacinthfold.catalogue.records import Record
+from jacinthfold.catalogue.record import Record
+from jacinthfold.catalogue.revision import (
+    MAX_ERA,
+    counter_of,
+    era_of,
+    make_revision,
+)
 from jacinthfold.platform.documents import (
     HOST_PREFIX,
     ISSUER_PREFIX,
     QUARANTINE_PREFIX,
     ROUTES_KEY,
 )
+from jacinthfold.request.messages import Headers, first_header
+from jacinthfold.request.numbers import excerpt
 from jacinthfold.transport.errors import ProxyError
 from jacinthfold.transport.http_call import CallResponse, PooledHttpClient
 
@@ -29,9 +39,29 @@
 # A watch without a response this long after its own wait time is on a dead
 # connection.
 WATCH_MARGIN_SECONDS = 1.0
+# Rises by one whenever the store comes back from a copy.
+ERA_HEADER = b'store-era'
+_MAX_ERA_DIGITS = len(str(MAX_ERA))
 _MS = 1000
 
 
+class _Answer:
+    """Hold the body of an answer and the era in which it was given."""
+
+    __slots__ = ('document', 'era')
+
+    def __init__(self, document: Any, era: int) -> None:
+        self.document = document
+        self.era = era
+
+    @property
+    def revision(self) -> int:
+        return make_revision(self.era, self.document['store-revision'])
+
+    def records(self, name: str) -> list[Record]:
+        return [_record(item, self.era) for item in self.document[name]]
+
+
 class PlatformStore:
     """List, watch and write records of the metadata store."""
 
@@ -41,6 +71,16 @@
         """Set the store's IP address and port, and the HTTP client."""
         self._address = address
         self._http_client = http_client
+        self._eras = EraTracker()
+
+    @property
+    def era(self) -> int:
+        """Return the latest era that an answer named, 0 if none did."""
+        return self._eras.era
+
+    async def wait_era_above(self, era: int) -> None:
+        """Return once an answer has named an era above the given one."""
+        await self._eras.wait_above(era)
 
     async def list_all(self) -> tuple[list[Record], int]:
         """Return all records and a revision that is not newer than them."""
@@ -52,61 +92,68 @@
         self, revision: int, wait_seconds: float
     ) -> tuple[list[Record], int]:
         """Wait for changes after a revision; return them and the latest one."""
-        document = await self._get(
+        answer = await self._get(
             '/api/kv-watch',
             {
                 'prefix': '',
-                'after': revision,
+                'after': counter_of(revision),
                 'wait-ms': int(wait_seconds * _MS),
             },
             wait_seconds + WATCH_MARGIN_SECONDS,
         )
-        records = [_record(event) for event in document['events']]
-        return records, max(revision, document['store-revision'])
+        # The store may have passed the revision again since it came back, and
+        # would leave out what was written below.
+        if answer.era != era_of(revision):
+            raise MetadataHistoryLostError(
+                f'the store is in era {answer.era}, not {era_of(revision)}'
+            )
+        return answer.records('events'), max(revision, answer.revision)
 
     async def current_revision(self) -> int:
         """Read the current revision from the store."""
         # No key with this prefix sorts after it, so the response is small.
         query = {'prefix': ROUTES_KEY, 'after': ROUTES_KEY}
-        document = await self._get('/api/kv-range', query, CALL_TIMEOUT_SECONDS)
-        return int(document['store-revision'])
+        answer = await self._get('/api/kv-range', query, CALL_TIMEOUT_SECONDS)
+        return answer.revision
 
-    async def grant_lease(self, seconds: float) -> int:
+    async def grant_lease(self, seconds: float) -> Lease:
         """Create a lease that expires after some seconds unless renewed."""
         body = {'ttl-ms': int(seconds * _MS)}
-        document = await self._call('POST', '/api/kv-lease', body)
-        return int(document['lease'])
+        answer = await self._call('POST', '/api/kv-lease', body)
+        return Lease(int(answer.document['lease']), answer.era)
 
-    async def renew_lease(self, lease: int) -> None:
+    async def renew_lease(self, lease: Lease) -> None:
         """Renew a lease; raise LeaseLostError if it has expired."""
-        await self._call('POST', f'/api/kv-keep/{lease}', {})
+        path = f'/api/kv-keep/{lease.number}'
+        await self._call_under(lease, 'POST', path, {})
 
-    async def end_lease(self, lease: int) -> None:
+    async def end_lease(self, lease: Lease) -> None:
         """Revoke a lease and remove the records written under it."""
-        await self._call('DELETE', f'/api/kv-lease-end/{lease}', {})
+        path = f'/api/kv-lease-end/{lease.number}'
+        await self._call_under(lease, 'DELETE', path, {})
 
-    async def write_host(self, name: str, content: bytes, lease: int) -> None:
+    async def write_host(self, name: str, content: bytes, lease: Lease) -> None:
         """Write an entry host's record unconditionally."""
         put = _put(f'{HOST_PREFIX}{name}', content, lease)
         body = {'expected-rev': [], 'puts': [put], 'remove': []}
-        await self._call('POST', '/api/kv-txn', body)
+        await self._call_under(lease, 'POST', '/api/kv-txn', body)
 
     async def claim(
-        self, name: str, content: bytes, *, after: int, lease: int
+        self, name: str, content: bytes, *, after: int, lease: Lease
     ) -> int:
         """Write an issuer's record if the stored one has a given revision.
 
         Revision 0 means that there is no record. Raise MetadataConflictError.
         """
         key = f'{ISSUER_PREFIX}{name}'
-        expected = [{'key': key, 'revision': after}]
+        expected = [{'key': key, 'revision': counter_of(after)}]
         puts = [_put(key, content, lease)]
         body = {'expected-rev': expected, 'puts': puts, 'remove': []}
-        document = await self._call('POST', '/api/kv-txn', body)
-        return int(document['revision'])
+        answer = await self._call_under(lease, 'POST', '/api/kv-txn', body)
+        return make_revision(answer.era, int(answer.document['revision']))
 
     async def write_quarantine(
-        self, contents: Mapping[str, bytes], lease: int
+        self, contents: Mapping[str, bytes], lease: Lease
     ) -> None:
         """Write quarantine records of requests that crashed targets."""
         puts = [
@@ -114,13 +161,13 @@
             for name, content in contents.items()
         ]
         body = {'expected-rev': [], 'puts': puts, 'remove': []}
-        await self._call('POST', '/api/kv-txn', body)
+        await self._call_under(lease, 'POST', '/api/kv-txn', body)
 
     async def create_quarantine(self, name: str, content: bytes) -> None:
         """Create a permanent quarantine record; raise MetadataConflictError."""
         key = f'{QUARANTINE_PREFIX}{name}'
         expected = [{'key': key, 'revision': 0}]
-        puts = [_put(key, content, 0)]
+        puts = [_put(key, content, None)]
         body = {'expected-rev': expected, 'puts': puts, 'remove': []}
         await self._call('POST', '/api/kv-txn', body)
 
@@ -129,44 +176,73 @@
         query: dict[str, Any] = {'prefix': prefix}
         first_revision = None
         while True:
-            document = await self._get(
+            answer = await self._get(
                 '/api/kv-range', query, CALL_TIMEOUT_SECONDS
             )
             # Pages are not a consistent snapshot. A watch that starts at the
             # first page's revision receives the changes made in between.
             if first_revision is None:
-                first_revision = int(document['store-revision'])
-            items = document['items']
-            records.extend(_record(item) for item in items)
-            if not document['has-more'] or not items:
+                first_revision = answer.revision
+            if answer.era != era_of(first_revision):
+                raise MetadataError(f'era {answer.era} began during a list')
+            items = answer.document['items']
+            records.extend(answer.records('items'))
+            if not answer.document['has-more'] or not items:
                 return records, first_revision
             query['after'] = items[-1]['key']
 
     async def _get(
         self, path: str, query: dict[str, Any], timeout_seconds: float
-    ) -> Any:
+    ) -> _Answer:
         target = f'{path}?{urlencode(query)}'
         return await self._send('GET', target, b'', timeout_seconds)
 
-    async def _call(self, method: str, path: str, body: dict[str, Any]) -> Any:
+    async def _call_under(
+        self, lease: Lease, method: str, path: str, body: dict[str, Any]
+    ) -> _Answer:
+        # A number of an earlier era may now be that of another host's lease.
+        if lease.era != self._eras.era:
+            raise LeaseLostError(f'{path}: lease of era {lease.era}')
+        answer = await self._call(method, path, body)
+        if lease.era != answer.era:
+            raise LeaseLostError(f'{path}: lease of era {lease.era}')
+        return answer
+
+    async def _call(
+        self, method: str, path: str, body: dict[str, Any]
+    ) -> _Answer:
         content = json.dumps(body).encode() if body else b''
         return await self._send(method, path, content, CALL_TIMEOUT_SECONDS)
 
     async def _send(
         self, method: str, target: str, body: bytes, timeout_seconds: float
-    ) -> Any:
+    ) -> _Answer:
         try:
             response = await self._http_client.call(
                 self._address, method, target, body, timeout_seconds
             )
         except ProxyError as error:
             raise MetadataError(f'{type(error).__name__}: {error}') from error
-        return _decode_response(response, target)
+        # Answers that refuse the call name the era too.
+        era = self._eras.observe(_era(response.headers))
+        return _Answer(_decode_response(response, target), era)
+
+
+def _era(headers: Headers) -> int | None:
+    """Return the era that an answer names; raise MetadataError."""
+    content = first_header(headers, ERA_HEADER)
+    if not content:
+        return None
+    is_number = content.isdigit() and len(content) <= _MAX_ERA_DIGITS
+    if not is_number or int(content) > MAX_ERA:
+        raise MetadataError(f'era is no number: {excerpt(content)}')
+    return int(content)
 
 
-def _put(key: str, content: bytes, lease: int) -> dict[str, Any]:
+def _put(key: str, content: bytes, lease: Lease | None) -> dict[str, Any]:
     encoded = base64.b64encode(content).decode()
-    return {'key': key, 'value': encoded, 'lease': lease}
+    number = lease.number if lease else 0
+    return {'key': key, 'value': encoded, 'lease': number}
 
 
 def _decode_response(response: CallResponse, target: str) -> Any:
@@ -185,11 +261,12 @@
         raise MetadataError(f'{call}: {error}') from error
 
 
-def _record(item: dict[str, Any]) -> Record:
+def _record(item: dict[str, Any], era: int) -> Record:
     content = None
     if not item.get('removed'):
         content = _content(item)
-    return Record(item['key'], int(item['revision']), content)
+    revision = make_revision(era, int(item['revision']))
+    return Record(item['key'], revision, content)
 
 
 def _content(item: dict[str, Any]) -> bytes:
--- a/jacinthfold/platform/target_records.py
+++ b/jacinthfold/platform/target_records.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from jacinthfold.catalogue.model import TargetRecord
-from jacinthfold.catalogue.records import UnreadableRecordError
+from jacinthfold.catalogue.record import UnreadableRecordError
 
 # Far above any real target. A higher value means that the record was not
 # written by a target.
--- a/jacinthfold/proxy/metrics.py
+++ b/jacinthfold/proxy/metrics.py
@@ -8,12 +8,43 @@
     generate_latest,
 )
 
+from jacinthfold.catalogue.records import Catalogue
+from jacinthfold.catalogue.revision import counter_of
+
 # From the first event of an idle engine to the longest time a caller waits.
 SECONDS_BUCKETS = (
     0.025, 0.05, 0.1, 0.2, 0.3, 0.45, 0.6, 0.8, 1.0, 1.5, 2.5, 5.0, 15.0,
 )  # fmt: skip
 
 
+class StoreMetrics:
+    """Hold the gauges of this host's copy of the metadata store."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        """Register the gauges."""
+        self._revision = Gauge(
+            'jacinthfold_gateway_store_revision',
+            'Revision of the metadata store that this host knows',
+            registry=registry,
+        )
+        self._era = Gauge(
+            'jacinthfold_gateway_store_era',
+            'Era of the metadata store, which rises when it loses changes',
+            registry=registry,
+        )
+        self._restorations = Gauge(
+            'jacinthfold_gateway_store_restorations',
+            'Returns of the store from a copy that this host has seen',
+            registry=registry,
+        )
+
+    def follow(self, catalogue: Catalogue) -> None:
+        """Show the state of a catalogue."""
+        self._revision.set_function(lambda: counter_of(catalogue.revision))
+        self._era.set_function(lambda: catalogue.era)
+        self._restorations.set_function(lambda: catalogue.restoration_count)
+
+
 class ProxyMetrics:
     """Hold the metrics in their own registry."""
 
@@ -121,11 +152,7 @@
             'Requests being served',
             registry=self.registry,
         )
-        self.store_revision = Gauge(
-            'jacinthfold_gateway_store_revision',
-            'Revision of the metadata store that this host knows',
-            registry=self.registry,
-        )
+        self.store = StoreMetrics(self.registry)
         self.dropped_log_lines = Gauge(
             'jacinthfold_log_lines_left_out',
             'Log lines that were left out since the start',
--- a/jacinthfold/quarantine/fingerprints.py
+++ b/jacinthfold/quarantine/fingerprints.py
@@ -25,6 +25,11 @@
         """Start without the key, which comes from the metadata store."""
         self._key = b''
 
+    @property
+    def key(self) -> bytes:
+        """Return the key, empty until it is known."""
+        return self._key
+
     @property
     def has_key(self) -> bool:
         """Return whether the key is known."""
@@ -32,6 +37,8 @@
 
     def set_key(self, key: bytes) -> None:
         """Set the key that all hosts of the deployment share."""
+        if key == self._key:
+            return
         self._key = key
         logs.event('fingerprints_keyed')
 
--- a/jacinthfold/quarantine/quarantine.py
+++ b/jacinthfold/quarantine/quarantine.py
@@ -92,6 +92,12 @@
             return
         self.suspects.merge_reports([read_record(name, content)], is_near=False)
 
+    def write_again(self) -> None:
+        """Write the key and the crashes observed here to the store again."""
+        self.key_creator.write_again()
+        for fingerprint, suspect in self.suspects.observed_here():
+            self._store_observed(fingerprint, suspect)
+
     def _record_crash(self, target_crash: TargetCrash) -> None:
         at_ms = round(self._clock.now().timestamp() * _MS_PER_SECOND)
         for one in target_crash.present:
--- a/jacinthfold/quarantine/store_writer.py
+++ b/jacinthfold/quarantine/store_writer.py
@@ -13,11 +13,12 @@
 
 from jacinthfold import logs
 from jacinthfold.catalogue.metadata import (
+    Lease,
     LeaseLostError,
     MetadataError,
     MetadataStore,
 )
-from jacinthfold.catalogue.records import UnreadableRecordError
+from jacinthfold.catalogue.record import UnreadableRecordError
 from jacinthfold.clock import Clock
 from jacinthfold.quarantine.crashes import Crash, SuspectReport
 
@@ -49,7 +50,7 @@
         self._clock = clock
         self._waiting: OrderedDict[str, bytes] = OrderedDict()
         self._has_waiting = asyncio.Event()
-        self._lease = 0
+        self._lease: Lease | None = None
         self._leased_at = float('-inf')
 
     @property
@@ -74,7 +75,7 @@
             try:
                 await self._write_batch()
             except LeaseLostError:
-                self._leased_at = float('-inf')
+                self._lease = None
             except MetadataError as error:
                 logs.warning(
                     'quarantine_not_stored',
@@ -92,11 +93,13 @@
 
     async def _write_batch(self) -> None:
         now = self._clock.monotonic()
-        if now - self._leased_at > LEASE_REUSE_SECONDS:
-            self._lease = await self._store.grant_lease(LEASE_SECONDS)
+        lease = self._lease
+        if lease is None or now - self._leased_at > LEASE_REUSE_SECONDS:
+            lease = await self._store.grant_lease(LEASE_SECONDS)
+            self._lease = lease
             self._leased_at = now
         batch = dict(list(self._waiting.items())[:RECORDS_PER_CALL])
-        await self._store.write_quarantine(batch, self._lease)
+        await self._store.write_quarantine(batch, lease)
         for name, content in batch.items():
             if self._waiting.get(name) == content:
                 self._waiting.pop(name)
--- a/jacinthfold/quarantine/suspects.py
+++ b/jacinthfold/quarantine/suspects.py
@@ -70,6 +70,14 @@
         """Return the entry of a request, None if it is no suspect."""
         return self._suspects.get(fingerprint)
 
+    def observed_here(self) -> list[tuple[str, Suspect]]:
+        """Return the requests that were present at crashes seen here."""
+        return [
+            (fingerprint, suspect)
+            for fingerprint, suspect in self._suspects.items()
+            if suspect.is_observed_here
+        ]
+
     def refused_seconds(self, fingerprint: str) -> float | None:
         """Return for how long a request is refused, None if it isn't."""
         suspect = self._suspects.get(fingerprint)
--- a/jacinthfold/quota/issuers.py
+++ b/jacinthfold/quota/issuers.py
@@ -5,6 +5,10 @@
 store, bound to a lease, names the issuer. By its own clock an issuer stops
 before its lease can expire in the store, and its successor waits until all
 shares leased before have expired.
+
+A store that comes back from a copy has lost the newest of these records and
+leases. Then every issuer stops, and nobody claims a shard until the leases of
+all of them have expired.
 """
 
 import asyncio
@@ -14,13 +18,15 @@
 
 from jacinthfold import logs
 from jacinthfold.catalogue.metadata import (
+    Lease,
     LeaseLostError,
     MetadataConflictError,
     MetadataError,
     MetadataStore,
 )
 from jacinthfold.catalogue.model import HostRecord
-from jacinthfold.catalogue.records import Record, UnreadableRecordError
+from jacinthfold.catalogue.record import Record, UnreadableRecordError
+from jacinthfold.catalogue.revision import era_of
 from jacinthfold.clock import Clock
 from jacinthfold.fleet.table import HostTable
 from jacinthfold.hashing import rank
@@ -55,19 +61,21 @@
     host: str
     # The host's incarnation.
     life: int
-    # The store lease to which the record is bound.
+    # The store lease to which the record is bound, and the era that granted it.
     lease: int
+    era: int = 0
 
 
 class _Shard:
     """Issuer of a shard according to the store."""
 
-    __slots__ = ('free_since', 'issuer', 'incarnation', 'revision')
+    __slots__ = ('free_since', 'issuer', 'incarnation', 'era', 'revision')
 
     def __init__(self, now: float) -> None:
         self.free_since: float | None = now
         self.issuer = ''
         self.incarnation = 0
+        self.era = 0
         self.revision = 0
 
 
@@ -94,9 +102,11 @@
         # By shard issued here, then by organisation.
         self._issuers: dict[str, dict[str, Issuer]] = {}
         self._started_at: dict[str, float] = {}
-        self._lease = 0
+        self._lease: Lease | None = None
         self._lease_until = float('-inf')
         self._renewed_at = float('-inf')
+        self._era: int | None = None
+        self._claims_from = float('-inf')
         self._is_leaving = False
 
     def apply_record(self, name: str, record: Record) -> None:
@@ -109,6 +119,7 @@
         shard.revision = record.revision
         shard.issuer = found.host if found else ''
         shard.incarnation = found.life if found else 0
+        shard.era = found.era if found else 0
         shard.free_since = None if found else now
         if not self._is_own(found):
             self._issuers.pop(name, None)
@@ -128,7 +139,7 @@
         shard = shard_of(request.organisation, request.half)
         issuers = self._issuers.get(shard)
         cap_rate = self._pools.cap_rate_of(request.organisation)
-        if issuers is None or cap_rate is None or now >= self._lease_until:
+        if issuers is None or cap_rate is None or not self._is_leased(now):
             return None
         issuer = issuers.get(request.organisation)
         if issuer is None:
@@ -190,6 +201,7 @@
         if not self._pools.has_caps:
             return
         now = self._clock.boottime()
+        self._follow_era(now)
         if self._lease and now - self._renewed_at >= RENEW_SECONDS:
             await self._store.renew_lease(self._lease)
             self._record_renewal(now)
@@ -198,35 +210,69 @@
             # One per tick, which leaves some shards to other hosts.
             await self._claim(claimable[0])
 
+    def _follow_era(self, now: float) -> None:
+        """Stop issuing when the store has come back from a copy."""
+        era = self._store.era
+        if self._era is not None and era > self._era:
+            logs.warning(
+                'issuing_stopped',
+                era=era,
+                before=self._era,
+                parts=','.join(self.issued_shards()),
+            )
+            self._drop_lease()
+            # Other hosts may learn of it only when their leases have ended.
+            self._claims_from = now + LEASE_SECONDS
+        self._era = era
+
+    def _is_leased(self, now: float) -> bool:
+        lease = self._lease
+        if lease is None or now >= self._lease_until:
+            return False
+        return lease.era == self._store.era
+
     def _may_claim(self, name: str) -> bool:
         shard = self._shards[name]
         own = self._own
+        now = self._clock.boottime()
+        if now < self._claims_from:
+            return False
+        if shard.issuer and era_of(shard.revision) != self._store.era:
+            # The condition on this revision could hold for another record.
+            return False
         if shard.issuer == own.name:
-            # The previous process of this host is certainly gone.
-            return shard.incarnation < own.incarnation
+            # This host issues no more under an earlier era, and its previous
+            # process is certainly gone.
+            known = (shard.era, shard.incarnation)
+            return known < (self._store.era, own.incarnation)
         if shard.free_since is None:
             return False
         order = rank(f'part {name}', {own.name, *self._hosts.registered()})
-        waited = self._clock.boottime() - shard.free_since
+        waited = now - max(shard.free_since, self._claims_from)
         return waited >= order.index(own.name) * CLAIM_DELAY_SECONDS
 
     async def _claim(self, name: str) -> None:
         shard = self._shards[name]
         now = self._clock.boottime()
-        if not self._lease:
-            self._lease = await self._store.grant_lease(LEASE_SECONDS)
+        lease = self._lease or await self._store.grant_lease(LEASE_SECONDS)
+        if lease.era != self._era:
+            # The store came back meanwhile.
+            return
+        if self._lease is None:
+            self._lease = lease
             self._record_renewal(now)
         document = IssuerDocument(
-            self._own.name, self._own.incarnation, self._lease
+            self._own.name, self._own.incarnation, lease.number, lease.era
         )
         after = shard.revision if shard.issuer else 0
         # The record names the winner soon; retry only after the lease time.
         shard.free_since = now + LEASE_SECONDS
         revision = await self._store.claim(
-            name, msgspec.json.encode(document), after=after, lease=self._lease
+            name, msgspec.json.encode(document), after=after, lease=lease
         )
         shard.issuer = self._own.name
         shard.incarnation = self._own.incarnation
+        shard.era = lease.era
         shard.revision = revision
         shard.free_since = None
         self._start_issuing(name, self._clock.boottime())
@@ -241,15 +287,21 @@
         self._lease_until = sent_at + LEASE_SECONDS - LEASE_MARGIN_SECONDS
 
     def _drop_lease(self) -> None:
-        self._lease = 0
+        self._lease = None
         self._lease_until = float('-inf')
         self._issuers.clear()
 
     def _is_own(self, found: IssuerDocument | None) -> bool:
         if found is None or not self._lease:
             return False
-        own = (self._own.name, self._own.incarnation, self._lease)
-        return (found.host, found.life, found.lease) == own
+        lease = self._lease
+        own = (
+            self._own.name,
+            self._own.incarnation,
+            lease.number,
+            lease.era,
+        )
+        return (found.host, found.life, found.lease, found.era) == own
 
 
 _decoder = msgspec.json.Decoder(IssuerDocument)
--- a/jacinthfold/transport/http_call.py
+++ b/jacinthfold/transport/http_call.py
@@ -26,11 +26,12 @@
 class CallResponse:
     """Hold the response to a call."""
 
-    __slots__ = ('body', 'status')
+    __slots__ = ('body', 'headers', 'status')
 
-    def __init__(self, status: int, body: bytes) -> None:
-        """Store status and body."""
+    def __init__(self, status: int, headers: Headers, body: bytes) -> None:
+        """Store status, headers and body."""
         self.status = status
+        self.headers = headers
         self.body = body
 
 
@@ -105,7 +106,7 @@
                 self._pool.release(pool_key, channel, None)
             else:
                 channel.abort()
-        return CallResponse(head.status, content)
+        return CallResponse(head.status, head.headers, content)
 
     async def get(
         self, endpoint: tuple[str, int], target: str, timeout_seconds: float
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -5,7 +5,8 @@
 
 from jacinthfold.catalogue.host_codec import decode_host
 from jacinthfold.catalogue.model import HostRecord
-from jacinthfold.catalogue.records import Catalogue, Record
+from jacinthfold.catalogue.record import Record
+from jacinthfold.catalogue.records import Catalogue
 from jacinthfold.fleet.directory import Directory
 from jacinthfold.fleet.table import HostState, HostTable
 from jacinthfold.platform.documents import PlatformReader
--- a/tests/gateway/test_organisations.py
+++ b/tests/gateway/test_organisations.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from jacinthfold.catalogue.records import Record, UnreadableRecordError
+from jacinthfold.catalogue.record import Record, UnreadableRecordError
 from jacinthfold.organisations.credentials import bearer_digest, digest_of
 from jacinthfold.organisations.model import Organisation
 from jacinthfold.platform.documents import PlatformReader
--- a/tests/gateway/test_other_writers.py
+++ b/tests/gateway/test_other_writers.py
@@ -9,7 +9,8 @@
 
 from jacinthfold.catalogue.follower import Follower
 from jacinthfold.catalogue.host_codec import decode_host
-from jacinthfold.catalogue.records import Catalogue, Record
+from jacinthfold.catalogue.record import Record
+from jacinthfold.catalogue.records import Catalogue
 from jacinthfold.gateway.node import supervised
 from jacinthfold.placement.targets import TargetTable
 from jacinthfold.platform.documents import PlatformReader
--- a/tests/gateway/test_rebirth.py
+++ b/tests/gateway/test_rebirth.py
@@ -5,7 +5,7 @@
 import pytest
 
 from jacinthfold.catalogue.model import HostRecord
-from jacinthfold.catalogue.records import Record
+from jacinthfold.catalogue.record import Record
 from jacinthfold.fleet.heartbeats import Heartbeats
 from jacinthfold.fleet.table import HostTable
 from jacinthfold.placement.regions import RegionView
--- /dev/null
+++ b/tests/gateway/test_restored_leases.py
@@ -0,0 +1,254 @@
+"""Leases, claims and written records when the store comes back from a copy."""
+
+import asyncio
+import base64
+import json
+
+from jacinthfold.catalogue.follower import RENEWAL_INTERVAL_SECONDS
+from jacinthfold.catalogue.metadata import (
+    Lease,
+    LeaseLostError,
+    MetadataConflictError,
+)
+from jacinthfold.catalogue.record import Record
+from jacinthfold.catalogue.revision import counter_of, make_revision
+from jacinthfold.fleet.table import HostTable
+from jacinthfold.quarantine.fingerprint_key import FingerprintKeyCreator
+from jacinthfold.quarantine.fingerprints import Fingerprints
+from jacinthfold.quota.issuers import LEASE_SECONDS, SHARD_COUNT, Issuers
+from tests.fakes import FakeClock
+from tests.gateway.deployment import route, wait_served
+from tests.gateway.test_watchers import record
+from tools.fleet import wait_until
+
+# Hosts that are listed again within this time are back as targets are.
+LISTED_SECONDS = 2.0
+
+
+def leases_by_host(store):
+    found = {}
+    for key, item in store.items.items():
+        if key.startswith('hosts/'):
+            content = json.loads(base64.b64decode(item['value']))
+            found[content['name']] = item['lease']
+    return found
+
+
+def test_hosts_are_listed_again_under_leases_of_their_own(deployment):
+    """Guards against renewing or ending a lease that is another host's now.
+
+    The store has lost all leases and gives out their numbers again.
+    """
+    store = deployment.store
+    store.era = 1
+    deployment.add_target('i-1', 'desk')
+    deployment.put_routes(route('/a/'))
+    backup = store.backup()
+    for name in ('a', 'b', 'c'):
+        deployment.start_host(name)
+    wait_until(lambda: len(leases_by_host(store)) == 3, 'hosts are listed')
+    store.restore(backup)
+    assert not store.leases
+    wait_until(
+        lambda: len(leases_by_host(store)) == 3,
+        'hosts are listed again',
+        RENEWAL_INTERVAL_SECONDS + LISTED_SECONDS,
+    )
+    leases = leases_by_host(store)
+    assert len(set(leases.values())) == 3
+    assert set(leases.values()) <= set(store.leases)
+    # A host that leaves takes no other with it.
+    deployment.hosts['a'].process.terminate()
+    wait_until(
+        lambda: set(leases_by_host(store)) == {'b', 'c'}, 'one host has left'
+    )
+    assert {leases['b'], leases['c']} <= set(store.leases)
+    wait_served(deployment, 'b', '/a/')
+
+
+class ClaimStore:
+    """Hold the issuers' records, leases and era; check all conditions."""
+
+    def __init__(self):
+        self.era = 1
+        self.counter = 0
+        self.claims = {}
+        self.leases = set()
+        self.clock = None
+
+    async def grant_lease(self, _seconds):
+        number = len(self.leases) + 1
+        self.leases.add(number)
+        return Lease(number, self.era)
+
+    async def renew_lease(self, lease):
+        if lease.era != self.era or lease.number not in self.leases:
+            raise LeaseLostError('gone')
+
+    async def claim(self, name, content, *, after, lease):
+        await self.renew_lease(lease)
+        known = self.claims.get(name)
+        is_held = known is not None and known.content is not None
+        if counter_of(after) != (counter_of(known.revision) if is_held else 0):
+            raise MetadataConflictError(name)
+        self.counter += 1
+        revision = make_revision(self.era, self.counter)
+        self.claims[name] = Record(name, revision, content)
+        return revision
+
+    def restore(self, claims, counter):
+        self.era += 1
+        self.counter = counter
+        self.leases = set()
+        self.claims = {
+            name: Record(
+                name,
+                make_revision(self.era, counter_of(one.revision)),
+                one.content,
+            )
+            for name, one in claims.items()
+        }
+
+    def expire(self):
+        """Remove the claims of the copy, whose leases nobody renews.
+
+        The other claims that hosts know are removed with them.
+        """
+        for number in range(SHARD_COUNT):
+            name = f'{number:02}'
+            one = self.claims.get(name)
+            if one is None or json.loads(one.content)['era'] < self.era:
+                self.counter += 1
+                revision = make_revision(self.era, self.counter)
+                self.claims[name] = Record(name, revision, None)
+
+
+class Pools:
+    has_caps = True
+
+
+class IssuerScene:
+    """Hold two hosts that claim shards of one store."""
+
+    def __init__(self):
+        self.clock = FakeClock()
+        self.store = ClaimStore()
+        self.issuers = {}
+        for name in ('north-1', 'north-2'):
+            hosts = HostTable(record(name), self.clock)
+            for other in ('north-1', 'north-2'):
+                hosts.register(record(other), other)
+            self.issuers[name] = Issuers(hosts, self.store, Pools(), self.clock)
+
+    def step(self, *names):
+        for name in names or self.issuers:
+            try:
+                asyncio.run(self.issuers[name]._step())
+            except LeaseLostError:
+                self.issuers[name]._drop_lease()
+            except MetadataConflictError:
+                pass
+
+    def publish(self, *names):
+        """Give hosts the records of the store."""
+        for name in names or self.issuers:
+            issuers = self.issuers[name]
+            for shard in issuers._shards:
+                found = self.store.claims.get(shard)
+                if found is not None:
+                    issuers.apply_record(shard, found)
+
+    def run(self, seconds, *names):
+        for _ in range(int(seconds / 0.2)):
+            self.clock.advance(0.2)
+            self.step(*names)
+            self.publish(*names)
+
+    def issued(self):
+        return {
+            name: set(
+                shard
+                for shard in one.issued_shards()
+                if one._is_leased(self.clock.boottime())
+            )
+            for name, one in self.issuers.items()
+        }
+
+
+def test_issuers_stop_and_no_shard_has_two_after_the_return():
+    """Guards against two issuers that lease the same shares of a cap.
+
+    The copy has the first claims only. The second host has lost the records of
+    its claims and doesn't notice at once.
+    """
+    scene = IssuerScene()
+    scene.run(1.0)
+    backup, counter = dict(scene.store.claims), scene.store.counter
+    scene.run(8.0)
+    before = scene.issued()
+    assert sum(len(shards) for shards in before.values()) == 16
+    scene.store.restore(backup, counter)
+    # The first host notices at once, the second one when its lease has ended.
+    scene.step('north-1')
+    assert not scene.issued()['north-1']
+    scene.publish('north-1')
+    for _ in range(14):
+        scene.run(0.2, 'north-1')
+        issued = scene.issued()
+        assert not issued['north-1'] & issued['north-2']
+        assert not issued['north-1'], 'claimed before all leases have ended'
+    scene.store.expire()
+    scene.run(8.0)
+    issued = scene.issued()
+    assert not issued['north-1'] & issued['north-2']
+    assert sum(len(shards) for shards in issued.values()) == 16
+
+
+def test_condition_on_a_revision_of_an_earlier_era_is_not_used():
+    """Guards against a claim whose condition holds for another record."""
+    scene = IssuerScene()
+    scene.run(1.0)
+    name, known = next(iter(scene.store.claims.items()))
+    scene.publish()
+    scene.store.restore({name: known}, 1)
+    scene.run(LEASE_SECONDS + 0.4, 'north-2')
+    # The record that this host knows is of the earlier era.
+    issuers = scene.issuers['north-2']
+    issuers.apply_record(name, known)
+    assert not issuers._may_claim(name)
+    issuers.apply_record(name, scene.store.claims[name])
+    assert issuers._shards[name].revision == scene.store.claims[name].revision
+
+
+class KeyStore:
+    """Hold the record of the key."""
+
+    def __init__(self):
+        self.contents = {}
+
+    async def create_quarantine(self, name, content):
+        if name in self.contents:
+            raise MetadataConflictError(name)
+        self.contents[name] = content
+
+
+def test_fingerprint_key_that_the_store_lost_is_written_again():
+    """Guards against hosts that count crashes under different keys."""
+    store, fingerprints = KeyStore(), Fingerprints()
+    creator = FingerprintKeyCreator(store, fingerprints)
+
+    async def scenario():
+        task = asyncio.create_task(creator.run())
+        while not store.contents:
+            await asyncio.sleep(0.01)
+        first = store.contents['key']
+        fingerprints.set_key(first)
+        await asyncio.sleep(1)
+        store.contents.clear()
+        creator.write_again()
+        while not store.contents:
+            await asyncio.sleep(0.01)
+        task.cancel()
+        assert store.contents['key'] == first
+
+    asyncio.run(asyncio.wait_for(scenario(), 10))
--- a/tests/gateway/test_store_restored.py
+++ b/tests/gateway/test_store_restored.py
@@ -57,3 +57,13 @@
     """
     change_after_restore(deployment, writes=0)
     check_in_force(deployment)
+
+
+def test_changes_take_effect_after_the_store_has_overtaken_the_host(deployment):
+    """Guards against a watch that skips what was written below its revision.
+
+    The counter passes the revision that the host knows before its next call, so
+    that the store answers the watch as if nothing had happened.
+    """
+    change_after_restore(deployment, writes=30)
+    check_in_force(deployment)
--- a/tests/gateway/test_suspects.py
+++ b/tests/gateway/test_suspects.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from jacinthfold.catalogue.metadata import MetadataError
-from jacinthfold.catalogue.records import UnreadableRecordError
+from jacinthfold.catalogue.record import UnreadableRecordError
 from jacinthfold.fleet.heartbeat_message import Heartbeat, decode, encode
 from jacinthfold.fleet.table import HostState
 from jacinthfold.placement.target import Load
--- a/tests/gateway/test_translation.py
+++ b/tests/gateway/test_translation.py
@@ -9,7 +9,8 @@
 
 from jacinthfold.catalogue.host_codec import decode_host
 from jacinthfold.catalogue.model import HostRecord, RetryPolicy
-from jacinthfold.catalogue.records import Catalogue, Record, RecordKind
+from jacinthfold.catalogue.record import Record, RecordKind
+from jacinthfold.catalogue.records import Catalogue
 from jacinthfold.config import SettingsError
 from jacinthfold.fleet.heartbeats import Heartbeats
 from jacinthfold.fleet.table import HostState, HostTable
@@ -53,6 +54,9 @@
     def on_issuer(self, name, record):
         self.notifications.append(('issuer', name, record.content))
 
+    def on_restored(self):
+        self.notifications.append(('restored',))
+
 
 def catalogue(clock=None):
     records = Catalogue(PlatformReader(), decode_host, clock or FakeClock())
--- a/tests/gateway/test_used_after_leaving.py
+++ b/tests/gateway/test_used_after_leaving.py
@@ -5,7 +5,7 @@
 import pytest
 
 from jacinthfold import logs
-from jacinthfold.catalogue.records import Record
+from jacinthfold.catalogue.record import Record
 from jacinthfold.fleet.snapshots import decode_snapshot, encode_snapshot
 from jacinthfold.placement import limits
 from jacinthfold.placement.decision import Reject, SendTo
--- a/tests/gateway/test_watchers.py
+++ b/tests/gateway/test_watchers.py
@@ -8,7 +8,8 @@
 
 from jacinthfold.catalogue.host_codec import decode_host
 from jacinthfold.catalogue.model import HostRecord
-from jacinthfold.catalogue.records import Catalogue, Record
+from jacinthfold.catalogue.record import Record
+from jacinthfold.catalogue.records import Catalogue
 from jacinthfold.fleet.heartbeats import REMOTE_FANOUT, Heartbeats
 from jacinthfold.fleet.snapshots import (
     CALL_TIMEOUT_SECONDS,
