Take the bound for the use of leaving targets from the settings

placement/limits.py had one constant of 5 s for the time after which nothing may reach a target that leaves. Deployments ask for 3 s or for 5 s. Where 3 s were asked and no other target was left, a host that heard of the leaving 1.5 s late could use the target until 4 s after the record.

The last resort, the age of knowledge at which a host that stood still sends nothing, and the pause that counts as standing still follow from it.

--- a/jacinthfold/gateway/cluster_view.py
+++ b/jacinthfold/gateway/cluster_view.py
@@ -58,7 +58,9 @@
         source = random.Random()
         self.pool = ConnectionPool(clock)
         self.hosts = HostTable(own, clock)
-        self.targets = TargetTable(settings.data_centres, clock)
+        self.targets = TargetTable(
+            settings.data_centres, clock, settings.leaving_limit
+        )
         self.catalogue = Catalogue(
             adapter.reader, host_codec.decode_host, clock
         )
--- a/jacinthfold/gateway/settings.py
+++ b/jacinthfold/gateway/settings.py
@@ -7,9 +7,11 @@
 
 from jacinthfold.config import Section, SettingsError, read_section
 from jacinthfold.options import Option, decimal, integer, one_of, printable_text
+from jacinthfold.placement.leaving_limit import LeavingLimit
 from jacinthfold.placement.overload_options import OverloadOptions
 
 PORT_LIMIT = 65535
+_MS = 1000
 
 
 def _parse_endpoint(value: str) -> tuple[str, int]:
@@ -101,6 +103,15 @@
             _parse_endpoint, ENDPOINT_FORMAT, 'the metadata store'
         ),
     },
+    'targets': {
+        'use_after_leaving_ms': Option(
+            decimal(2500, 60000),
+            'milliseconds from 2500 to 60000',
+            'no request reaches a target this long after the store accepted '
+            'that it leaves',
+            '5000',
+        ),
+    },
     'retries': {
         'ratio': Option(
             decimal(0, 1),
@@ -202,6 +213,7 @@
     __slots__ = (
         'data_centres',
         'host',
+        'leaving_limit',
         'listen',
         'organisations',
         'overload',
@@ -231,6 +243,8 @@
             answer_lag=overload.answer_lag,
             water_filling=overload.water_filling,
         )
+        targets = sections['targets']
+        self.leaving_limit = LeavingLimit(targets.use_after_leaving_ms / _MS)
         self.data_centres = data_centres
 
 
--- a/jacinthfold/placement/limits.py
+++ b/jacinthfold/placement/limits.py
@@ -25,11 +25,8 @@
 LAST_RESORT_SECONDS = 2.0
 # Added to it for requests that were placed in time and wait for a connection.
 LAST_SEND_SECONDS = 0.5
-# Nothing may reach a target later than this after the store accepted that it
-# leaves.
-MAX_USE_AFTER_LEAVING_SECONDS = 5.0
-# Reserved from it for the time between the check before a send and the last
-# byte at the target, on a host that is short of processor time.
+# Reserved for the time between the check before a send and the last byte at the
+# target, on a host that is short of processor time.
 SEND_MARGIN_SECONDS = 0.4
 # Time from the first failure of an unreachable target to its first trial,
 # doubled with each further failure in a row up to the limit. A target gets its
--- a/jacinthfold/placement/resume_guard.py
+++ b/jacinthfold/placement/resume_guard.py
@@ -6,8 +6,8 @@
 
 from jacinthfold.clock import Clock
 
-# A change usually arrives within 1.5 s. After a shorter pause than this, a
-# request still reaches its target within 5 s of the target's leaving.
+# After a shorter pause than this, a request still reaches its target within 5 s
+# of the target's leaving.
 MIN_PAUSE_SECONDS = 3.0
 # Heartbeats, pending watches and a query of the store bring a new proof within
 # this time. A host without one by then is cut off.
@@ -17,11 +17,14 @@
 class ResumeGuard:
     """Tell whether this host has just resumed from a pause."""
 
-    __slots__ = ('_clock', '_resumed_at', '_ticked_at')
+    __slots__ = ('_clock', '_min_pause_seconds', '_resumed_at', '_ticked_at')
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self, clock: Clock, min_pause_seconds: float = MIN_PAUSE_SECONDS
+    ) -> None:
         """Start without a pause; none is detected before the first tick."""
         self._clock = clock
+        self._min_pause_seconds = min_pause_seconds
         self._ticked_at = float('inf')
         self._resumed_at = float('-inf')
 
@@ -38,4 +41,5 @@
         return self._clock.boottime() - self._resumed_at < RESUME_SECONDS
 
     def _is_overdue(self) -> bool:
-        return self._clock.boottime() - self._ticked_at > MIN_PAUSE_SECONDS
+        pause_seconds = self._clock.boottime() - self._ticked_at
+        return pause_seconds > self._min_pause_seconds
--- a/jacinthfold/placement/target.py
+++ b/jacinthfold/placement/target.py
@@ -9,6 +9,7 @@
 from jacinthfold.placement import limits
 from jacinthfold.placement.concurrency_limit import ConcurrencyLimit
 from jacinthfold.placement.failure_rate import FailureRate
+from jacinthfold.placement.leaving_limit import LeavingLimit
 from jacinthfold.placement.prefix_cache import CachedPrefixes
 from jacinthfold.placement.pushback import Pushback
 from jacinthfold.request.messages import PromptPrefix, ResponseHead
@@ -22,10 +23,6 @@
 # idle, and without answers it would count as slow for ever. Half of the time
 # within which a target that serves again gets its share.
 CALL_SPEED_LIFETIME_SECONDS = 2.5
-# How old a target's leaving may be when a request is sent to it.
-_MAX_SEND_AGE_SECONDS = (
-    limits.MAX_USE_AFTER_LEAVING_SECONDS - limits.SEND_MARGIN_SECONDS
-)
 
 
 class Load:
@@ -64,6 +61,7 @@
 
     __slots__ = (
         '_expected_seconds',
+        '_leaving_limit',
         '_record_expires_at',
         '_actual_seconds',
         '_call_measured_at',
@@ -90,7 +88,10 @@
     )
 
     def __init__(
-        self, record: TargetRecord, pushback: Pushback | None = None
+        self,
+        record: TargetRecord,
+        pushback: Pushback | None = None,
+        leaving_limit: LeavingLimit | None = None,
     ) -> None:
         """Start from a record and the pushback that is known already."""
         self.record = record
@@ -116,6 +117,7 @@
         self.knowledge_age: Callable[[], float] = float
         # Returns whether this host has just resumed from a pause.
         self.is_resuming: Callable[[], bool] = bool
+        self._leaving_limit = leaving_limit or LeavingLimit()
         # Where its leaving was learned from, and when; None while it stays.
         self.leaving_origin: ChangeOrigin | None = None
         self.leaving_heard_at = float('-inf')
@@ -226,7 +228,7 @@
             # Its record may have lapsed with the store. An answer that does not
             # announce leaving shows that the target still served.
             age_seconds = min(age_seconds, now - self.pushback.confirmed_at)
-        until = now + _last_resort_seconds(age_seconds)
+        until = now + self._leaving_limit.last_resort_seconds(age_seconds)
         if is_draining:
             self.pushback.drained_until = until
         else:
@@ -254,7 +256,9 @@
         if pushback.leaving_since is not None and pushback.answer_until is None:
             # Its record may have said so earlier than this answer.
             age_seconds = min(self.knowledge_age(), now - confirmed_at)
-            pushback.answer_until = now + _last_resort_seconds(age_seconds)
+            pushback.answer_until = (
+                now + self._leaving_limit.last_resort_seconds(age_seconds)
+            )
 
     def log_rejected_send(self, now: float) -> None:
         """Log what this host knows of a target that leaves or may have left."""
@@ -282,7 +286,8 @@
             is_resuming or now > until + limits.LAST_SEND_SECONDS
         ):
             return 'target_left'
-        if is_resuming and self.knowledge_age() > _MAX_SEND_AGE_SECONDS:
+        max_age_seconds = self._leaving_limit.max_send_age_seconds
+        if is_resuming and self.knowledge_age() > max_age_seconds:
             return 'target_unconfirmed'
         return self.pushback.rejection_reason(now, is_counted=is_counted)
 
@@ -376,12 +381,3 @@
     if first is None:
         return second
     return first if second is None else min(first, second)
-
-
-def _last_resort_seconds(age_seconds: float) -> float:
-    """Return for how long a target may be used that left so long ago.
-
-    Negative if it may not be used any more.
-    """
-    bound_seconds = _MAX_SEND_AGE_SECONDS - limits.LAST_SEND_SECONDS
-    return min(limits.LAST_RESORT_SECONDS, bound_seconds - age_seconds)
--- a/jacinthfold/placement/targets.py
+++ b/jacinthfold/placement/targets.py
@@ -9,6 +9,7 @@
 from jacinthfold.clock import Clock
 from jacinthfold.placement import limits
 from jacinthfold.placement.latency_model import LatencyModels
+from jacinthfold.placement.leaving_limit import LeavingLimit
 from jacinthfold.placement.prefix_cache import RecentPrefixUses
 from jacinthfold.placement.pushback import RetainedPushback
 from jacinthfold.placement.resume_guard import ResumeGuard
@@ -18,7 +19,12 @@
 class TargetTable:
     """Index the targets of all regions."""
 
-    def __init__(self, regions: Mapping[str, str], clock: Clock) -> None:
+    def __init__(
+        self,
+        regions: Mapping[str, str],
+        clock: Clock,
+        leaving_limit: LeavingLimit | None = None,
+    ) -> None:
         """Use a mapping of data centres to regions."""
         self._regions = dict(regions)
         self._clock = clock
@@ -41,7 +47,10 @@
         self.origin: Callable[[], ChangeOrigin] = ChangeOrigin
         # Returns the maximum age of the records of targets.
         self.knowledge_age: Callable[[], float] = float
-        self.resume_guard = ResumeGuard(clock)
+        self._leaving_limit = leaving_limit or LeavingLimit()
+        self.resume_guard = ResumeGuard(
+            clock, self._leaving_limit.min_pause_seconds
+        )
         self.evacuated: frozenset[str] = frozenset()
         # Counts changes of targets and reports, but not this host's own load.
         self.change_count = 0
@@ -255,7 +264,7 @@
         if earlier is not None:
             started_at = _started_at(record, self._clock)
             pushback = earlier.pushback.for_next_incarnation(started_at)
-        target = Target(record, pushback)
+        target = Target(record, pushback, self._leaving_limit)
         target.knowledge_age = self.knowledge_age
         target.is_resuming = self.resume_guard.is_resuming
         target.on_failure_event = partial(_record_event, self)
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -30,9 +30,16 @@
 class Scene:
     """Set up the placement of one host, with a clock that the test advances."""
 
-    def __init__(self, host='a', clock=None, region='north', overload=None):
+    def __init__(
+        self,
+        host='a',
+        clock=None,
+        region='north',
+        overload=None,
+        leaving_limit=None,
+    ):
         self.clock = clock or FakeClock()
-        self.targets = TargetTable(REGIONS, self.clock)
+        self.targets = TargetTable(REGIONS, self.clock, leaving_limit)
         engine = Service('model')
         engine.kv_cache_tokens = 500000
         engine.slots = 64
--- a/tests/gateway/test_used_after_leaving.py
+++ b/tests/gateway/test_used_after_leaving.py
@@ -9,6 +9,7 @@
 from jacinthfold.fleet.snapshots import decode_snapshot, encode_snapshot
 from jacinthfold.placement import limits
 from jacinthfold.placement.decision import Reject, SendTo
+from jacinthfold.placement.leaving_limit import LeavingLimit
 from jacinthfold.placement.resume_guard import (
     MIN_PAUSE_SECONDS,
     RESUME_SECONDS,
@@ -117,8 +118,8 @@
 class Follower:
     """Apply a catalogue's changes to the targets of one host."""
 
-    def __init__(self):
-        self.scene = Scene()
+    def __init__(self, leaving_limit=None):
+        self.scene = Scene(leaving_limit=leaving_limit)
         self.clock = self.scene.clock
         self.records, _ = catalogue(self.clock)
         self.targets = self.scene.targets
@@ -147,9 +148,9 @@
         return found.rejection_reason(now, is_counted=False)
 
 
-def following(**fields):
+def following(leaving_limit=None, **fields):
     """Return a host that knows a ready target, and proved that just now."""
-    host = Follower()
+    host = Follower(leaving_limit)
     host.apply(ready(1, **fields))
     host.prove()
     return host
@@ -191,6 +192,40 @@
         host.clock.advance(0.05)
 
 
+@pytest.mark.parametrize('bound_seconds', [3.0, 5.0])
+@pytest.mark.parametrize('age_seconds', [0.0, 0.6, 1.5, 2.4, 3.5])
+def test_nothing_is_sent_past_the_bound_of_the_deployment(
+    bound_seconds, age_seconds
+):
+    """Guards against one bound for deployments that ask for 3 s or for 5 s.
+
+    Where 3 s are asked, a last resort could be used 4 s after the record.
+    """
+    host = following(LeavingLimit(bound_seconds))
+    said_at = host.clock.monotonic()
+    host.clock.advance(age_seconds)
+    host.apply(draining(2))
+    while host.clock.monotonic() < said_at + 7:
+        is_late = host.clock.monotonic() > said_at + bound_seconds
+        assert not (is_late and isinstance(host.choose(), SendTo))
+        assert not (is_late and host.rejection() == '')
+        host.clock.advance(0.05)
+
+
+@pytest.mark.parametrize('bound_seconds', [3.0, 5.0])
+def test_thawed_host_waits_for_news_by_the_bound_of_the_deployment(
+    bound_seconds,
+):
+    """Guards against sends of a host that stood still for most of the bound."""
+    limit = LeavingLimit(bound_seconds)
+    host = following(limit)
+    run_for(host, 1)
+    host.clock.advance(limit.min_pause_seconds + 0.1)
+    assert host.targets.resume_guard.is_resuming()
+    host.clock.advance(bound_seconds)
+    assert host.rejection() == 'target_unconfirmed'
+
+
 def test_recent_news_allow_the_whole_last_resort():
     """Guards against a bound that takes the last resort from fresh hosts."""
     host = following()
--- a/tools/ablations/leaving.py
+++ b/tools/ablations/leaving.py
@@ -37,13 +37,24 @@
         'leaving: the last resort is bounded by the age of the records',
         [
             (
-                'placement/target.py',
+                'placement/leaving_limit.py',
                 'return min(limits.LAST_RESORT_SECONDS, bound_seconds - age_seconds)',
                 'return limits.LAST_RESORT_SECONDS',
             ),
         ],
         f'{LEAVING_TESTS}::test_nothing_is_sent_five_seconds_after_the_record',
     ),
+    Ablation(
+        'leaving: the bound is the one of the deployment',
+        [
+            (
+                'placement/leaving_limit.py',
+                '            use_after_leaving_seconds - limits.SEND_MARGIN_SECONDS',
+                '            DEFAULT_USE_AFTER_LEAVING_SECONDS - limits.SEND_MARGIN_SECONDS',
+            ),
+        ],
+        f'{LEAVING_TESTS}::test_nothing_is_sent_past_the_bound_of_the_deployment',
+    ),
     Ablation(
         'leaving: a late record does not revive a target that drained',
         [
@@ -104,7 +115,7 @@
         [
             (
                 'placement/target.py',
-                'if is_resuming and self.knowledge_age() > _MAX_SEND_AGE_SECONDS:',
+                'if is_resuming and self.knowledge_age() > max_age_seconds:',
                 'if False:',
             ),
         ],
