--- a/jacinthfold/fleet/aggregation.py
+++ b/jacinthfold/fleet/aggregation.py
@@ -7,8 +7,7 @@
 from jacinthfold.fleet.digest_message import Digest, HostSummary
 from jacinthfold.fleet.heartbeat_message import Heartbeat, LoadFigures
 from jacinthfold.fleet.table import HOST_TIMEOUT_SECONDS
-from jacinthfold.placement import limits, place_reports, trial_reports
-from jacinthfold.placement.concurrency_limit import PlacesReport
+from jacinthfold.placement import limits, trial_reports
 from jacinthfold.placement.failure_rate import TrialReport
 from jacinthfold.placement.latency_model import PEER_SUMS_LIFETIME_SECONDS
 from jacinthfold.placement.prefix_cache import RecentPrefixUses
@@ -100,7 +99,6 @@
             uses=self._uses.by_incarnation(now),
             limits=self._limits(now),
             trials=self._trials(now),
-            target_places=self._target_places(now),
         )
         digest.is_full = self._count % FULL_INTERVAL_DIGESTS == 0
         if digest.is_full:
@@ -171,14 +169,6 @@
             trial_reports.merge(merged, member.heartbeat.trials, held_ms)
         return trial_reports.newest(merged)
 
-    def _target_places(self, now: float) -> dict[str, PlacesReport]:
-        """Return the members' newest limit of each plain target."""
-        merged: dict[str, PlacesReport] = {}
-        for member in self._members.values():
-            held_ms = round((now - member.heard_at) * 1000)
-            place_reports.merge(merged, member.heartbeat.target_places, held_ms)
-        return place_reports.newest(merged)
-
     def _latency_models(self, now: float) -> dict[str, list[float]]:
         sums: dict[str, list[float]] = {}
         for member in self._members.values():
--- a/jacinthfold/fleet/digest_message.py
+++ b/jacinthfold/fleet/digest_message.py
@@ -12,7 +12,6 @@
     inflate,
 )
 from jacinthfold.fleet.table import HostState
-from jacinthfold.placement.concurrency_limit import PlacesReport
 from jacinthfold.placement.failure_rate import TrialReport
 from jacinthfold.placement.request_limit import LimitReport
 from jacinthfold.quarantine.crashes import SuspectReport
@@ -81,9 +80,6 @@
     # Freshness proof of the collector.
     proof: ProofReport | None = None
     proof_era: int = 0
-    # The latest limits of plain targets that these hosts lowered, by
-    # incarnation.
-    target_places: dict[str, PlacesReport] = {}
 
 
 class Digests(msgspec.Struct):
--- a/jacinthfold/fleet/digests.py
+++ b/jacinthfold/fleet/digests.py
@@ -8,12 +8,7 @@
 from jacinthfold.fleet.digest_message import Digest, HostSummary
 from jacinthfold.fleet.heartbeat_message import LoadFigures
 from jacinthfold.fleet.table import HostStatus, HostTable
-from jacinthfold.placement import (
-    limit_reports,
-    limits,
-    place_reports,
-    trial_reports,
-)
+from jacinthfold.placement import limit_reports, limits, trial_reports
 from jacinthfold.placement.target import Load
 from jacinthfold.placement.targets import TargetTable
 from jacinthfold.quarantine.crashes import SuspectReport
@@ -100,9 +95,6 @@
         trial_reports.apply_reports(
             self._targets, digest.trials, candidate.made_at
         )
-        place_reports.apply_reports(
-            self._targets, digest.target_places, candidate.made_at
-        )
         known = self._current.get(digest.data_centre)
         if known is not None and not _is_better(candidate, known, now):
             return
--- a/jacinthfold/fleet/heartbeat_builder.py
+++ b/jacinthfold/fleet/heartbeat_builder.py
@@ -13,11 +13,7 @@
     LoadFigures,
 )
 from jacinthfold.fleet.table import HostTable
-from jacinthfold.placement import (
-    limit_reports,
-    place_reports,
-    trial_reports,
-)
+from jacinthfold.placement import limit_reports, trial_reports
 from jacinthfold.placement.targets import TargetTable
 from jacinthfold.quarantine.suspects import Suspects
 
@@ -61,7 +57,6 @@
         )
         now = self._clock.monotonic()
         heartbeat.trials = trial_reports.own_reports(self._targets, now)
-        heartbeat.target_places = place_reports.own_reports(self._targets, now)
         heartbeat.uses = self._targets.recent_uses.by_incarnation(now)
         heartbeat.suspects = self.suspects.reports_to_send(
             is_near=True, is_full=is_full
--- a/jacinthfold/fleet/heartbeat_message.py
+++ b/jacinthfold/fleet/heartbeat_message.py
@@ -13,7 +13,6 @@
 from jacinthfold.catalogue.host_codec import HostDocument
 from jacinthfold.catalogue.revision import make_revision
 from jacinthfold.fleet.table import HostState
-from jacinthfold.placement.concurrency_limit import PlacesReport
 from jacinthfold.placement.failure_rate import TrialReport
 from jacinthfold.placement.request_limit import LimitReport
 from jacinthfold.quarantine.crashes import SuspectReport
@@ -66,8 +65,6 @@
     proof: ProofReport | None = None
     heard_beats: dict[str, Receipt] = {}
     heard_digests: dict[str, Receipt] = {}
-    # Limits of plain targets that this host lowered lately, by incarnation.
-    target_places: dict[str, PlacesReport] = {}
     # Era of the revision, which is the store's counter.
     era: int = 0
     proof_era: int = 0
--- a/jacinthfold/fleet/heartbeats.py
+++ b/jacinthfold/fleet/heartbeats.py
@@ -27,11 +27,7 @@
     encode,
 )
 from jacinthfold.fleet.table import HostEntry, HostState, HostTable
-from jacinthfold.placement import (
-    limit_reports,
-    place_reports,
-    trial_reports,
-)
+from jacinthfold.placement import limit_reports, trial_reports
 from jacinthfold.placement.regions import RegionReport, RegionView
 from jacinthfold.placement.target import Load
 from jacinthfold.placement.targets import TargetTable
@@ -298,9 +294,6 @@
                 self._targets, host.name, heartbeat.limits, now
             )
             trial_reports.apply_reports(self._targets, heartbeat.trials, now)
-            place_reports.apply_reports(
-                self._targets, heartbeat.target_places, now
-            )
             self._apply_loads(host.name, heartbeat, now)
 
     def _apply_loads(self, name: str, heartbeat: Heartbeat, now: float) -> None:
--- a/jacinthfold/placement/concurrency_limit.py
+++ b/jacinthfold/placement/concurrency_limit.py
@@ -21,33 +21,18 @@
 # Full answers within the age of the sums come from the same full queue and
 # lower the limit once.
 LOWER_INTERVAL_SECONDS = 0.5
-# How long a lowered limit is reported: in several heartbeats, some of which may
-# be lost.
-REPORT_SECONDS = 2.0
-
-# Places, and the age in milliseconds of the answer that lowered the limit.
-PlacesReport = tuple[float, int]
-_MS = 1000
 
 
 class ConcurrencyLimit:
     """Hold the learned number of concurrent requests of one target."""
 
-    __slots__ = (
-        '_instance',
-        '_learned',
-        '_lowered_at',
-        '_own_report',
-        'full_at',
-    )
+    __slots__ = ('_instance', '_learned', '_lowered_at', 'full_at')
 
     def __init__(self, instance: str) -> None:
         """Start at the initial value."""
         self._instance = instance
         self._learned: float | None = None
-        # When this host or another one lowered it last.
         self._lowered_at = float('-inf')
-        self._own_report: tuple[float, float] | None = None
         # When this host last received an answer that the target is full.
         self.full_at = float('-inf')
 
@@ -69,7 +54,6 @@
             return
         self._lowered_at = now
         self._learned = lowered
-        self._own_report = (lowered, now)
         self._log(int(before), slots, in_flight, report_age_seconds)
 
     def record_accepted(
@@ -83,23 +67,6 @@
         if self.places(slots) > int(exact):
             self._log(int(exact), slots, in_flight, report_age_seconds)
 
-    def own_report(self, now: float) -> PlacesReport | None:
-        """Return the limit that this host lowered lately, if it did."""
-        if self._own_report is None:
-            return None
-        places, lowered_at = self._own_report
-        if now - lowered_at > REPORT_SECONDS:
-            self._own_report = None
-            return None
-        return round(places, 2), round((now - lowered_at) * _MS)
-
-    def apply_report(self, places: float, lowered_at: float) -> None:
-        """Adopt a limit that another host lowered later than this one."""
-        self.full_at = max(self.full_at, lowered_at)
-        if lowered_at > self._lowered_at:
-            self._lowered_at = lowered_at
-            self._learned = places
-
     def _log(
         self, before: int, slots: int, in_flight: int, report_age_seconds: float
     ) -> None:
--- a/jacinthfold/placement/place_shares.py
+++ b/jacinthfold/placement/place_shares.py
@@ -16,7 +16,7 @@
 """
 
 from collections.abc import Iterable
-from math import floor
+from math import ceil
 
 from jacinthfold.clock import Clock
 from jacinthfold.placement import limits
@@ -143,12 +143,7 @@
             _slots(target) / target.seconds_per_call for target, _ in counted
         )
         part = demand.per_second(now) / capacity_per_second
-        # Rounded up at all hosts, parts of less than a place would add up to a
-        # place for each host.
-        instance = counted[0][0].record.instance
-        ranks = self._ranks()
-        offset = (ranks.position(instance) + 0.5) / ranks.host_count
-        return floor(places * min(1.0, part) + offset)
+        return ceil(places * min(1.0, part))
 
     def _ranks(self) -> RegionRanks:
         return self._known if self._is_cut_off() else self._live
--- a/tests/gateway/place_replay.py
+++ b/tests/gateway/place_replay.py
@@ -8,7 +8,6 @@
 import itertools
 import random
 
-from jacinthfold.placement import place_reports
 from jacinthfold.placement.decision import Reject, SendTo
 from jacinthfold.placement.overload_options import OverloadOptions
 from jacinthfold.placement.target import Load
@@ -247,26 +246,16 @@
             }
             for key, load in own[name].items():
                 sums.setdefault(key, Load()).add(load)
-        now = self.clock.monotonic()
-        places = {
-            name: place_reports.own_reports(self.scenes[name].targets, now)
-            for name in self.names
-        }
         self.timeline.schedule(
-            REPORT_AGE_SECONDS,
-            lambda: self._receive_reports(sums, own, places),
+            REPORT_AGE_SECONDS, lambda: self._receive_reports(sums, own)
         )
         self.timeline.schedule(REPORT_EVERY_SECONDS, self._send_reports)
 
-    def _receive_reports(self, sums, own, places):
+    def _receive_reports(self, sums, own):
         now = self.clock.monotonic()
         for name in self.names:
             others = {}
             for key, load in sums.items():
                 mine = own.get(name, {}).get(key, Load())
                 others[key] = Load(load.requests - mine.requests)
-            targets = self.scenes[name].targets
-            targets.update_loads('sum', others, now)
-            for sender, reports in places.items():
-                if sender != name:
-                    place_reports.apply_reports(targets, reports, now)
+            self.scenes[name].targets.update_loads('sum', others, now)
