--- a/tests/gateway/test_restored_leases.py
+++ b/tests/gateway/test_restored_leases.py
@@ -3,8 +3,14 @@
 import asyncio
 import base64
 import json
+import random
 
-from jacinthfold.catalogue.follower import RENEWAL_INTERVAL_SECONDS
+import pytest
+
+from jacinthfold.catalogue.follower import (
+    RENEWAL_INTERVAL_SECONDS,
+    Registration,
+)
 from jacinthfold.catalogue.metadata import (
     Lease,
     LeaseLostError,
@@ -18,7 +24,13 @@
 from jacinthfold.quota.issuers import LEASE_SECONDS, SHARD_COUNT, Issuers
 from tests.fakes import FakeClock
 from tests.gateway.deployment import route, wait_served
+from tests.gateway.test_suspects import (
+    SharedStore,
+    partitioned_hosts,
+    record_crash_at,
+)
 from tests.gateway.test_watchers import record
+from tests.gateway.virtual_time import run
 from tools.fleet import wait_until
 
 # Hosts that are listed again within this time are back as targets are.
@@ -69,6 +81,65 @@
     wait_served(deployment, 'b', '/a/')
 
 
+class LeaseStore:
+    """Count the writes of hosts that register."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.era = 1
+        self.write_times = []
+        self.listed = set()
+        self.granted = 0
+
+    async def grant_lease(self, _seconds):
+        self.write_times.append(self.clock.monotonic())
+        self.granted += 1
+        return Lease(self.granted, self.era)
+
+    async def renew_lease(self, lease):
+        if lease.era != self.era:
+            raise LeaseLostError('gone')
+
+    async def write_host(self, name, _content, _lease):
+        self.write_times.append(self.clock.monotonic())
+        self.listed.add(name)
+
+
+@pytest.mark.parametrize(
+    ('hosts', 'writes_per_second'), [(8, 400), (63, 1200), (300, 3200)]
+)
+def test_all_hosts_are_listed_again_within_the_rates_of_the_store(
+    hosts, writes_per_second
+):
+    """Guards against hosts that all write in the moment of the return."""
+    clock = FakeClock()
+    store = LeaseStore(clock)
+    names = [f'h-{number}' for number in range(hosts)]
+
+    async def scenario():
+        tasks = [
+            asyncio.create_task(Registration(store, record(name)).run())
+            for name in names
+        ]
+        await asyncio.sleep(3)
+        store.era += 1
+        store.listed.clear()
+        store.write_times.clear()
+        await asyncio.sleep(LISTED_SECONDS)
+        for task in tasks:
+            task.cancel()
+
+    random.seed(1)
+    run(clock, scenario())
+    assert store.listed == set(names)
+    assert len(store.write_times) == 2 * hosts
+    most = max(
+        sum(at <= other < at + 0.1 for other in store.write_times)
+        for at in store.write_times
+    )
+    assert most <= writes_per_second / 10
+
+
 class ClaimStore:
     """Hold the issuers' records, leases and era; check all conditions."""
 
@@ -227,6 +298,29 @@
     assert issuers._may_claim(name)
 
 
+def test_crashes_that_the_store_lost_are_written_again():
+    """Guards against a request that is allowed again after the return.
+
+    All hosts may be replaced before its next crash.
+    """
+    store = SharedStore()
+    host = partitioned_hosts(store, 1)[0]
+    for incarnation_id in ('i-1', 'i-2'):
+        record_crash_at(host, incarnation_id)
+
+    async def write():
+        while host.writer.waiting_count:
+            await host.writer._write_batch()
+
+    asyncio.run(write())
+    before = dict(store.records)
+    assert len(before) == 2
+    store.records.clear()
+    host.write_again()
+    asyncio.run(write())
+    assert store.records == before
+
+
 class KeyStore:
     """Hold the record of the key."""
 
--- a/tools/ablations/restored.py
+++ b/tools/ablations/restored.py
@@ -258,6 +258,17 @@
         ],
         f'{LEASES}::test_condition_on_a_revision_of_an_earlier_era_is_not_used',
     ),
+    Ablation(
+        'restored: crashes observed here are written again',
+        [
+            (
+                'quarantine/quarantine.py',
+                '            self._store_observed(fingerprint, suspect)',
+                '            pass',
+            ),
+        ],
+        f'{LEASES}::test_crashes_that_the_store_lost_are_written_again',
+    ),
     Ablation(
         'restored: the key of fingerprints is written again',
         [
