--- a/tests/gateway/test_store_restored.py
+++ b/tests/gateway/test_store_restored.py
@@ -1,5 +1,7 @@
 """A store that comes back from a copy and gives out revisions again."""
 
+import signal
+
 from tests.gateway.deployment import pause, route, wait_served
 
 # Time within which the smallest deployments ask for a change to take effect.
@@ -67,3 +69,60 @@
     """
     change_after_restore(deployment, writes=30)
     check_in_force(deployment)
+
+
+def test_hosts_that_start_with_the_copy_take_what_is_written_again(deployment):
+    """Guards against hosts that all restart while the store is away."""
+    store = deployment.store
+    store.era = 1
+    for instance in ('i-1', 'i-2'):
+        deployment.add_target(instance, 'desk')
+    deployment.put_routes(route('/a/'), route('/gone/'))
+    names = ('one', 'two')
+    for name in names:
+        deployment.start_host(name)
+    backup = store.backup()
+    deployment.put_routes(route('/a/'), route('/b/'))
+    for name in names:
+        wait_served(deployment, name, '/b/')
+    store.is_away = True
+    for name in names:
+        deployment.hosts[name].kill()
+    store.restore(backup)
+    for name in names:
+        deployment.hosts[name].start()
+    store.is_away = False
+    deployment.write_again()
+    for name in names:
+        deployment.wait_ready(name)
+    pause(PROMISED_SECONDS)
+    for name in names:
+        assert deployment.ask(name, '/b/').status == 200
+        assert deployment.ask(name, '/gone/').status == 404
+
+
+def test_host_that_was_frozen_does_not_bring_back_what_was_before(deployment):
+    """Guards against a host that thaws in the era before and tells others."""
+    store = deployment.store
+    store.era = 1
+    deployment.add_target('i-1', 'desk')
+    deployment.add_target('i-9', 'model')
+    deployment.put_routes(route('/a/'))
+    first = deployment.start_host('one')
+    seeds = f'{first.control[0]}:{first.control[1]}'
+    frozen = deployment.start_host('two', seeds=seeds)
+    backup = store.backup()
+    write_on(deployment, 20)
+    deployment.put_routes(route('/a/'), route('/gone/'))
+    for name in ('one', 'two'):
+        wait_served(deployment, name, '/gone/')
+    frozen.signal(signal.SIGSTOP)
+    store.restore(backup)
+    deployment.put_routes(route('/a/'), route('/b/'))
+    wait_served(deployment, 'one', '/b/')
+    frozen.signal(signal.SIGCONT)
+    wait_served(deployment, 'two', '/b/')
+    pause(1)
+    for name in ('one', 'two'):
+        assert deployment.ask(name, '/b/').status == 200
+        assert deployment.ask(name, '/gone/').status == 404
