--- a/jacinthfold/fleet/snapshots.py
+++ b/jacinthfold/fleet/snapshots.py
@@ -225,6 +225,13 @@
     # Hosts of the previous version do not compress.
     if not content.startswith(b'{'):
         content = _decompressed(content)
+    try:
+        return _read_snapshot(content)
+    except (TypeError, AttributeError) as error:
+        raise ValueError(str(error)) from error
+
+
+def _read_snapshot(content: bytes) -> Snapshot:
     document: dict[str, Any] = json.loads(content)
     # Hosts of the previous version tell no era.
     era = document.get('era', 0)
--- a/tests/gateway/test_restored_records.py
+++ b/tests/gateway/test_restored_records.py
@@ -291,6 +291,29 @@
     assert SnapshotQuery('/snapshot?since=20').start_at(at(1, 30)) == at(1, 20)
 
 
+@pytest.mark.parametrize(
+    ('field', 'content'),
+    [
+        ('era', 'x'),
+        ('era', None),
+        ('era', -1),
+        ('era', 1 << 20),
+        ('revision', 1.5),
+        ('eras', [1]),
+        ('eras', ['x', 'x', 'x', 'x', 'x']),
+        ('records', [[1, 2]]),
+        ('records', 7),
+    ],
+)
+def test_malformed_snapshot_of_a_peer_is_refused(field, content):
+    """Guards against a peer's message that stops the exchange."""
+    scene = Scene()
+    document = json.loads(encode_snapshot(scene.records, 0))
+    document[field] = content
+    with pytest.raises(ValueError):
+        decode_snapshot(json.dumps(document).encode())
+
+
 def test_revision_proves_nothing_until_changes_are_repeated():
     """Guards against counting a restored copy as recent knowledge.
 
