Log the software version of targets and where streams go on

The incident's hypotheses could not be told apart: no line had the version of a target, the event after which an attempt goes on, or the attempt that a caller takes up. target_known and request_placed now have software_version, request_placed and request_passed_on have last_event_id and resumes, and jacinthfold_gateway_streams_resumed_total counts attempts to go on by who resumed (host or caller) and how they ended. The version is read into the target's record, bounded to 64 characters and a digest; nothing is decided by it yet.

--- a/jacinthfold/catalogue/model.py
+++ b/jacinthfold/catalogue/model.py
@@ -196,6 +196,7 @@
         'remaining_seconds',
         'service',
         'slots',
+        'software_version',
     )
 
     def __init__(
@@ -214,6 +215,9 @@
         self.service = service
         self.address = address
         self.data_centre = data_centre
+        # Version of the target's program, not of its model; versions have no
+        # order.
+        self.software_version = ''
         self.slots = 1
         self.is_draining = False
         self.cold_seconds = 0.0
--- a/jacinthfold/gateway/organisations.py
+++ b/jacinthfold/gateway/organisations.py
@@ -67,10 +67,10 @@
         """Return the check that each request passes before it is sent."""
         quota = self.quota
         metrics.key_age.set_function(lambda: self.key_gate.age_seconds)
-        metrics.shares_held.set_function(
+        metrics.caps.shares_held.set_function(
             lambda: sum(quota.pools.held().values())
         )
-        metrics.shards_issued.set_function(
+        metrics.caps.shards_issued.set_function(
             lambda: len(quota.issuers.issued_shards())
         )
         return Admission(self.key_gate, quarantine, quota.permits, metrics)
--- a/jacinthfold/placement/targets.py
+++ b/jacinthfold/placement/targets.py
@@ -281,6 +281,7 @@
             life=record.incarnation_id,
             starts_again=earlier is not None,
             service=record.service,
+            software_version=record.software_version,
             data_centre=record.data_centre,
             cold_seconds=record.cold_seconds,
         )
--- a/jacinthfold/platform/dialect.py
+++ b/jacinthfold/platform/dialect.py
@@ -18,6 +18,7 @@
 REQUEST_DEADLINE = b'Request-Deadline'
 TARGET_INSTANCE = b'Target-Instance'
 LAST_EVENT_ID = b'Last-Event-Id'
+RESUMES = b'Resumes'
 NOT_EXECUTED = b'Not-Executed'
 RESPONSE_SEAL = b'Response-Seal'
 WARMUP_REMAINING = b'Warmup-Remaining'
@@ -90,6 +91,7 @@
             _header_text(headers, PROMPT_PREFIX)
         )
         facts.last_event_id = _header_text(headers, LAST_EVENT_ID)
+        facts.resumed_id = _header_text(headers, RESUMES)
         return facts
 
     def read_response(self, status: int, headers: Headers) -> ResponseFacts:
--- a/jacinthfold/platform/target_records.py
+++ b/jacinthfold/platform/target_records.py
@@ -1,5 +1,6 @@
 """Decode the records that targets write into the metadata store."""
 
+import hashlib
 import ipaddress
 from enum import Enum
 
@@ -13,6 +14,7 @@
 SLOTS_LIMIT = 1_000_000
 WARMUP_LIMIT_MS = 3_600_000
 PORT_LIMIT = 65535
+MAX_VERSION_CHARACTERS = 64
 # Unix milliseconds of the year 2286, one digit more than any current time.
 BORN_LIMIT_MS = 10**13
 _MS = 1000
@@ -57,6 +59,7 @@
     record = TargetRecord(
         instance, entry.backend, _parse_endpoint(entry.address), entry.zone
     )
+    record.software_version = _bounded_version(entry.version)
     record.slots = entry.slots
     record.is_draining = entry.state is _State.DRAINING
     record.cold_seconds = entry.warmup_left_ms / _MS
@@ -69,6 +72,14 @@
     return record
 
 
+def _bounded_version(version: str) -> str:
+    # Hosts send versions to each other and log them.
+    if len(version) <= MAX_VERSION_CHARACTERS:
+        return version
+    digest = hashlib.blake2b(version.encode(), digest_size=8).hexdigest()
+    return f'{version[:MAX_VERSION_CHARACTERS]}~{digest}'
+
+
 def _parse_endpoint(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(':')
     if not (port.isascii() and port.isdigit() and len(port) <= 5):
--- a/jacinthfold/proxy/forwarding.py
+++ b/jacinthfold/proxy/forwarding.py
@@ -118,11 +118,16 @@
         """Make one attempt; return whether another one may follow."""
         now = self._clock.monotonic()
         request_log.log_choice(request, choice, progress, now)
+        resumed_by = _resumed_by(progress, response)
         try:
             outcome = await self._attempt(request, response, progress, choice)
         finally:
             self.placement.record_end(request)
         progress.record_attempt(choice, outcome)
+        if resumed_by:
+            self._metrics.resumed_streams.labels(
+                request.service_name, resumed_by, outcome.ending.value
+            ).inc()
         if outcome.ending is Ending.DELIVERED:
             self._record_served(request, response)
             return False
@@ -282,3 +287,10 @@
         service = request.service_name
         self._metrics.requests.labels(service, ending).inc()
         self._metrics.request_seconds.labels(service).observe(elapsed_seconds)
+
+
+def _resumed_by(progress: Progress, response: CallerResponse) -> str:
+    """Return who resumes a stream with the next attempt, '' for new ones."""
+    if response.has_started:
+        return 'host'
+    return 'caller' if progress.last_event_id else ''
--- a/jacinthfold/proxy/metrics.py
+++ b/jacinthfold/proxy/metrics.py
@@ -45,6 +45,23 @@
         self._restorations.set_function(lambda: catalogue.restoration_count)
 
 
+class CapMetrics:
+    """Hold the gauges of the caps that this host lends and may spend."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        """Register the gauges."""
+        self.shares_held = Gauge(
+            'jacinthfold_gateway_cap_shares_held',
+            'Shares of caps that this host may spend, added up',
+            registry=registry,
+        )
+        self.shards_issued = Gauge(
+            'jacinthfold_gateway_cap_parts_issued',
+            'Parts of the organisations whose shares this host lends',
+            registry=registry,
+        )
+
+
 class ProxyMetrics:
     """Hold the metrics in their own registry."""
 
@@ -83,6 +100,12 @@
             buckets=SECONDS_BUCKETS,
             registry=self.registry,
         )
+        self.resumed_streams = Counter(
+            'jacinthfold_gateway_streams_resumed_total',
+            'Attempts to go on with a stream, by who resumed it and by outcome',
+            ['service', 'by', 'ending'],
+            registry=self.registry,
+        )
         self.full_answers = Counter(
             'jacinthfold_gateway_target_full_total',
             'Answers of targets that say that they are full, by service',
@@ -131,16 +154,7 @@
             'How old the knowledge of keys may be',
             registry=self.registry,
         )
-        self.shares_held = Gauge(
-            'jacinthfold_gateway_cap_shares_held',
-            'Shares of caps that this host may spend, added up',
-            registry=self.registry,
-        )
-        self.shards_issued = Gauge(
-            'jacinthfold_gateway_cap_parts_issued',
-            'Parts of the organisations whose shares this host lends',
-            registry=self.registry,
-        )
+        self.caps = CapMetrics(self.registry)
         self.answer_lag = Gauge(
             'jacinthfold_gateway_answer_lag_seconds',
             'By how much first events come later than expected',
--- a/jacinthfold/proxy/request_log.py
+++ b/jacinthfold/proxy/request_log.py
@@ -7,6 +7,9 @@
 from jacinthfold.quarantine.quarantine import Refusal
 from jacinthfold.request.messages import Request
 
+# Callers make up identifiers of any length.
+MAX_LOGGED_ID_CHARACTERS = 64
+
 
 def log_choice(
     request: Request, choice: Choice, progress: Progress, now: float
@@ -20,6 +23,9 @@
             attempt=progress.sends + 1,
             service=request.service_name,
             target=estimate.target.record.instance,
+            software_version=estimate.target.record.software_version,
+            last_event_id=progress.last_event_id,
+            resumes=request.facts.resumed_id[:MAX_LOGGED_ID_CHARACTERS],
             wait_seconds=estimate.wait_seconds,
             expected_seconds=estimate.seconds,
             prompt_tokens=request.facts.prompt_tokens,
@@ -36,6 +42,8 @@
             attempt=progress.sends + 1,
             service=request.service_name,
             region=choice.region.name,
+            last_event_id=progress.last_event_id,
+            resumes=request.facts.resumed_id[:MAX_LOGGED_ID_CHARACTERS],
             expected_seconds=choice.region.seconds,
         )
 
--- a/jacinthfold/request/messages.py
+++ b/jacinthfold/request/messages.py
@@ -61,6 +61,7 @@
         'caller_timeout_seconds',
         'prompt_tokens',
         'request_id',
+        'resumed_id',
     )
 
     def __init__(self, request_id: str, host_name: str) -> None:
@@ -79,6 +80,9 @@
         self.prefix_segments: tuple[PrefixSegment, ...] = ()
         self._prefixes: tuple[PromptPrefix, ...] | None = None
         self.last_event_id = ''
+        # The attempt that brought the first event of the stream that the caller
+        # takes up again; empty if it begins one.
+        self.resumed_id = ''
 
     @property
     def prefixes(self) -> tuple[PromptPrefix, ...]:
