Resume a broken stream only at the software version that began it

Cause: the adapter read a target's version and dropped it, so that a host that resumed a stream chose among all targets of the service, and a relay told neither side where the stream had begun.

Now a request has an origin from the moment before its caller gets an event: the attempt and the version of the incarnation that made the event. The choice of a target, trials, the last resort, preferred regions, the choice of another region and the last check before a send take it as a condition. Relays carry it in both directions; a stream is relayed only to hosts that say that they keep to it. Prefixes are copied only between targets of one version. Streams whose version is unknown or gone are rejected at once, and those that wait are a class of their own in the queue.

Ruled out: a stale record (each send names its incarnation, others answer 421).

--- a/jacinthfold/catalogue/host_codec.py
+++ b/jacinthfold/catalogue/host_codec.py
@@ -15,6 +15,8 @@
     data_centre: str
     address: str
     ports: tuple[int, int, int]
+    # Hosts of the previous version omit it.
+    keeps_origins: bool = False
 
 
 _host_decoder = msgspec.json.Decoder(HostDocument)
@@ -34,6 +36,7 @@
         host.data_centre,
         host.address,
         (host.caller_port, host.relay_port, host.control_port),
+        host.keeps_origins,
     )
 
 
@@ -47,10 +50,12 @@
 
 def host_from_document(document: HostDocument) -> HostRecord:
     """Return the host of a decoded document."""
-    return HostRecord(
+    record = HostRecord(
         document.name,
         document.incarnation,
         (document.region, document.data_centre),
         document.address,
         document.ports,
     )
+    record.keeps_origins = document.keeps_origins
+    return record
--- a/jacinthfold/catalogue/model.py
+++ b/jacinthfold/catalogue/model.py
@@ -240,6 +240,7 @@
         'control_port',
         'data_centre',
         'incarnation',
+        'keeps_origins',
         'name',
         'region',
         'relay_port',
@@ -265,6 +266,9 @@
         self.caller_port = ports[0]
         self.relay_port = ports[1]
         self.control_port = ports[2]
+        # Whether the host lets streams go on only where they began; those of
+        # the previous version don't.
+        self.keeps_origins = False
 
 
 def _longest_first(route: Route) -> int:
--- a/jacinthfold/gateway/cluster_view.py
+++ b/jacinthfold/gateway/cluster_view.py
@@ -145,6 +145,9 @@
     def on_routes(self, table: RouteTable) -> None:
         """Apply a newer configuration."""
         self.targets.update_services(table.services)
+        self.targets.versions.cover_timeout(
+            max((one.timeout_seconds for one in table.routes), default=0.0)
+        )
         self.organisations.apply_routes(table)
         latest = table.limits.idle_timeout_seconds
         self._idle_timeouts_seconds = [self._idle_timeouts_seconds[-1], latest]
--- a/jacinthfold/gateway/node.py
+++ b/jacinthfold/gateway/node.py
@@ -2,14 +2,12 @@
 
 import asyncio
 import signal
-import time
 from collections.abc import Callable, Coroutine
 from pathlib import Path
 from random import Random
 from typing import Any
 
 from jacinthfold import logs
-from jacinthfold.catalogue.model import HostRecord
 from jacinthfold.clock import Clock
 from jacinthfold.config import SettingsError
 from jacinthfold.fleet.directory import Directory
@@ -19,11 +17,13 @@
 from jacinthfold.gateway.adapter import Adapter
 from jacinthfold.gateway.cluster_view import ClusterView
 from jacinthfold.gateway.drain import Drain
+from jacinthfold.gateway.own_record import own_record
 from jacinthfold.gateway.settings import GatewaySettings
 from jacinthfold.proxy.attempts import Attempts
 from jacinthfold.proxy.forwarding import Forwarder
 from jacinthfold.proxy.listener import Handler, Listener
 from jacinthfold.proxy.metrics import ProxyMetrics
+from jacinthfold.streams.origins import StreamOrigins
 from jacinthfold.transport.http_call import PooledHttpClient
 
 SETTINGS_CHECK_SECONDS = 2.0
@@ -61,8 +61,9 @@
         self._stop_requested = asyncio.Event()
         self.metrics = ProxyMetrics()
         self._drain = Drain(clock)
-        own = _own_record(settings)
+        own = own_record(settings)
         self._view = ClusterView(own, settings, adapter, http_client, clock)
+        self._origins = StreamOrigins(self._view.targets.versions)
         self._build_listeners(adapter)
         self.metrics.in_flight.set_function(self._in_flight_count)
         self.metrics.store.follow(self._view.catalogue)
@@ -152,6 +153,7 @@
             view.quarantine.crash_detector,
             self._clock,
         )
+        attempts.on_begin = self._origins.record_begin
         attempts.on_first_event = view.placer.record_first_event
         attempts.has_alternative = view.placer.has_alternative
         view.placer.on_answer_lag = self.metrics.set_answer_lag
@@ -281,20 +283,6 @@
             return
 
 
-def _own_record(settings: GatewaySettings) -> HostRecord:
-    host, listen = settings.host, settings.listen
-    # The incarnation is the wall-clock time in nanoseconds, so that a later
-    # start has a larger number. If the clock was set back, the earlier record
-    # stands until its lease expires.
-    return HostRecord(
-        host.name,
-        time.time_ns(),
-        (host.region, host.data_centre),
-        host.address,
-        (listen.callers[1], listen.relay_port, listen.control[1]),
-    )
-
-
 def _modified_at(path: Path) -> float:
     try:
         return path.stat().st_mtime
--- a/jacinthfold/placement/choice.py
+++ b/jacinthfold/placement/choice.py
@@ -19,6 +19,7 @@
 from jacinthfold.placement.preferred_regions import PreferredRegions
 from jacinthfold.placement.regions import RegionView, RemoteRegion
 from jacinthfold.placement.request_classes import RequestClassifier
+from jacinthfold.placement.stream_regions import stream_regions
 from jacinthfold.placement.target import Target
 from jacinthfold.placement.targets import TargetTable
 from jacinthfold.placement.usable import NO_TARGET_SECONDS, UsableTargets
@@ -217,6 +218,11 @@
         """Return the rejection of a request that is late at any target."""
         if not request.allows(self._region):
             return None
+        # The bounds hold for all targets together.
+        if request.origin is not None and self._targets.versions.is_mixed(
+            request.service_name
+        ):
+            return None
         best = self._least_waits.late_estimate(
             request, self._clock.monotonic(), self._may_serve_here
         )
@@ -263,6 +269,7 @@
             now,
             is_urgent=request.is_urgent,
             objective_seconds=request.route.latency_objective_seconds,
+            origin=request.origin,
         )
         if not usable:
             return None
@@ -294,12 +301,7 @@
         if not request.allows(self._region):
             return None
         now = self._clock.monotonic()
-        target = self._usable.find_trial(
-            request.service_name,
-            now,
-            is_urgent=request.is_urgent,
-            is_repeatable=request.is_repeatable,
-        )
+        target = self._usable.find_trial(request, now)
         if target is None:
             return None
         estimate = self._estimator.estimate(request, target, now)
@@ -438,7 +440,10 @@
     ) -> RemoteRegion | None:
         if request.is_relayed:
             return None
-        return self._regions.best(request, tried_regions)
+        if request.origin is None:
+            return self._regions.best(request, tried_regions)
+        within = stream_regions(request, self._targets)
+        return self._regions.best(request, tried_regions, within)
 
 
 def _ignore_lag(service: str, seconds: float, *, is_urgent: bool) -> None:
--- a/jacinthfold/placement/decision.py
+++ b/jacinthfold/placement/decision.py
@@ -31,6 +31,7 @@
         'after_seconds',
         'inputs',
         'is_past_deadline',
+        'is_permanent',
         'local_estimate',
         'reason',
         'remote_region',
@@ -49,6 +50,8 @@
         # Whether the caller is told a time past its deadline, since no earlier
         # return would be served.
         self.is_past_deadline = False
+        # Whether no capacity that becomes free helps the request.
+        self.is_permanent = False
         self.local_estimate = local_estimate
         self.remote_region = remote_region
         # What the decision was made from, for the log.
--- a/jacinthfold/placement/estimates.py
+++ b/jacinthfold/placement/estimates.py
@@ -136,13 +136,17 @@
             return []
         if shared[-1].tokens < limits.COPY_AT_LEAST_TOKENS:
             return []
-        seen: set[tuple[int, str]] = set()
+        seen: set[tuple[int, str, str]] = set()
         found = []
         for target in targets:
             cached = target.cached_prefixes.cached_tokens(
                 shared, service.kv_cache_tokens
             )
-            key = (cached, target.record.data_centre)
+            key = (
+                cached,
+                target.record.data_centre,
+                target.record.software_version,
+            )
             if cached >= limits.COPY_AT_LEAST_TOKENS and key not in seen:
                 seen.add(key)
                 found.append(CopySource(target, cached))
@@ -234,7 +238,12 @@
         copy_source: 'CopySource',
         service: Service,
     ) -> Estimate | None:
-        if copy_source.target is without_copy.target:
+        source_version = copy_source.target.record.software_version
+        if (
+            copy_source.target is without_copy.target
+            # Memory that another version wrote may not fit.
+            or source_version != without_copy.target.record.software_version
+        ):
             return None
         copied = copy_source.prefix_tokens - without_copy.cached_tokens
         if copied < limits.COPY_AT_LEAST_TOKENS:
--- a/jacinthfold/placement/late_placement.py
+++ b/jacinthfold/placement/late_placement.py
@@ -107,7 +107,7 @@
 
     def _reject_without_target(self, request: Request) -> Reject:
         rejection = self._usable.no_target_rejection(
-            request.service_name, self._clock.monotonic()
+            request, self._clock.monotonic()
         )
         rejection.after_seconds = self._retry_after_seconds(
             rejection.after_seconds
--- a/jacinthfold/placement/preferred_regions.py
+++ b/jacinthfold/placement/preferred_regions.py
@@ -43,6 +43,7 @@
         record = target.record
         return (
             request.allows(self._targets.region_of(record.data_centre))
+            and request.may_run_at(target.record.software_version)
             and target.last_resort_until is None
             and target.cold_until <= now
             and record.data_centre not in self._targets.evacuated
--- a/jacinthfold/placement/regions.py
+++ b/jacinthfold/placement/regions.py
@@ -87,13 +87,21 @@
         return self._estimate_region(request, region, hosts, prefix_tokens)
 
     def best(
-        self, request: Request, tried_regions: Collection[str]
+        self,
+        request: Request,
+        tried_regions: Collection[str],
+        within: Collection[str] | None = None,
     ) -> RemoteRegion | None:
-        """Return the allowed region with the earliest first event."""
+        """Return the allowed region with the earliest first event.
+
+        Only regions within a collection are considered if there is one.
+        """
         found = [
             self._estimate_region(request, name, hosts)
             for name, hosts in self._live_hosts().items()
-            if name not in tried_regions and request.allows(name)
+            if name not in tried_regions
+            and request.allows(name)
+            and (within is None or name in within)
         ]
         return min(
             (one for one in found if one is not None),
--- a/jacinthfold/placement/request_classes.py
+++ b/jacinthfold/placement/request_classes.py
@@ -28,8 +28,12 @@
 
     def class_of(self, request: Request) -> RequestClass:
         """Return the class of the requests that are placed alike."""
+        version = ''
+        name = request.service_name
+        if request.origin is not None and self._targets.versions.is_mixed(name):
+            version = request.origin.software_version or ''
         return RequestClass(
-            request.rank, self._size(request), request.home_regions
+            request.rank, self._size(request), request.home_regions, version
         )
 
     def own_seconds(self, request: Request) -> float:
--- a/jacinthfold/placement/targets.py
+++ b/jacinthfold/placement/targets.py
@@ -13,6 +13,7 @@
 from jacinthfold.placement.prefix_cache import RecentPrefixUses
 from jacinthfold.placement.pushback import RetainedPushback
 from jacinthfold.placement.resume_guard import ResumeGuard
+from jacinthfold.placement.software_versions import SoftwareVersions
 from jacinthfold.placement.target import Load, Target
 
 
@@ -57,6 +58,7 @@
         self.on_failure_event: Callable[[str, str], None] = lambda *_: None
         self.latency_models = LatencyModels()
         self.recent_uses = RecentPrefixUses()
+        self.versions = SoftwareVersions(clock)
 
     def update_services(self, services: Mapping[str, Service]) -> None:
         """Replace the configuration of services."""
@@ -104,6 +106,7 @@
         if target is None or _is_other_incarnation(target, record):
             target = self._add(record, target)
         is_key_changed = _index_key(target.record) != _index_key(record)
+        _check_version(target, record)
         target.record = record
         if is_key_changed:
             self._index()
@@ -256,6 +259,7 @@
             region = self.region_of(target.record.data_centre)
             key = (target.record.service, region)
             self._by_service.setdefault(key, []).append(target)
+        self.versions.update(_present_versions(self._targets.values()))
 
     def _add(self, record: TargetRecord, earlier: Target | None) -> Target:
         pushback = self._retained.restore(
@@ -294,8 +298,39 @@
         target.cold_until = max(target.cold_until, until)
 
 
-def _index_key(record: TargetRecord) -> tuple[str, str, str]:
-    return (record.incarnation_id, record.service, record.data_centre)
+def _index_key(record: TargetRecord) -> tuple[str, ...]:
+    return (
+        record.incarnation_id,
+        record.service,
+        record.data_centre,
+        record.software_version,
+    )
+
+
+def _present_versions(
+    targets: Iterable[Target],
+) -> dict[str, frozenset[str]]:
+    """Return the software versions of the targets by service."""
+    found: dict[str, set[str]] = {}
+    for target in targets:
+        record = target.record
+        found.setdefault(record.service, set()).add(record.software_version)
+    return {service: frozenset(names) for service, names in found.items()}
+
+
+def _check_version(target: Target, record: TargetRecord) -> None:
+    """Distrust the version of a target that has told another one."""
+    known = target.record.software_version
+    if known == record.software_version:
+        return
+    if known:
+        logs.warning(
+            'target_version_changed',
+            target=record.instance,
+            before=known,
+            software_version=record.software_version,
+        )
+    record.software_version = ''
 
 
 def _started_at(record: TargetRecord, clock: Clock) -> float:
--- a/jacinthfold/placement/usable.py
+++ b/jacinthfold/placement/usable.py
@@ -15,14 +15,19 @@
     MAX_RETRY_AFTER_SECONDS,
     RetrySchedule,
 )
+from jacinthfold.placement.stream_regions import stream_regions
 from jacinthfold.placement.target import Target
 from jacinthfold.placement.targets import TargetTable
 from jacinthfold.placement.trials import TrialTurns
 from jacinthfold.request.messages import Request
+from jacinthfold.request.stream_origin import StreamOrigin
 
 # Retry time when no target is usable: cold targets accept the next request
 # after 0.3 s.
 NO_TARGET_SECONDS = 0.3
+# Retry time of a stream whose software version is unknown or has no target. A
+# target that crashed starts again as the same version after some seconds.
+NO_VERSION_SECONDS = 1.0
 
 
 class UsableTargets:
@@ -70,13 +75,17 @@
         *,
         is_urgent: bool,
         objective_seconds: float | None = None,
+        origin: StreamOrigin | None = None,
     ) -> list[Target]:
         """Return a service's usable targets of the best available state.
 
         Healthy targets come first, then ejected ones, then leaving ones. Plain
-        targets without a free place for this host are left out.
+        targets without a free place for this host are left out, and those of
+        other software versions than the one that a stream began at.
         """
-        found = self._find_admitted(service, tried, now, is_urgent=is_urgent)
+        found = self._find_admitted(
+            service, tried, now, is_urgent=is_urgent, origin=origin
+        )
         if not self.has_places(service):
             return found
         if objective_seconds is not None:
@@ -90,12 +99,13 @@
             return False
         return not self._targets.service(service).is_engine
 
-    def find_trial(
-        self, service: str, now: float, *, is_urgent: bool, is_repeatable: bool
-    ) -> Target | None:
+    def find_trial(self, request: Request, now: float) -> Target | None:
         """Return the ejected target that a request may try now, if any."""
+        service = request.service_name
+        is_urgent = request.is_urgent
+        is_repeatable = request.is_repeatable
         self._turns.record_request(service, now, is_repeatable=is_repeatable)
-        targets = self._targets.of(service, self._region)
+        targets = self._of_origin(service, request.origin)
         ejected = [one for one in targets if one.is_ejected]
         if not ejected:
             return None
@@ -124,7 +134,11 @@
         if not self.has_places(service):
             return None
         full = self._find_admitted(
-            service, tried, now, is_urgent=request.is_urgent
+            service,
+            tried,
+            now,
+            is_urgent=request.is_urgent,
+            origin=request.origin,
         )
         if not full:
             return None
@@ -143,11 +157,16 @@
         rejection.inputs = _place_inputs(full, objective, per_second, now)
         return rejection
 
-    def no_target_rejection(self, service: str, now: float) -> Reject:
+    def no_target_rejection(self, request: Request, now: float) -> Reject:
         """Return a rejection with the reason why no target is usable."""
+        service = request.service_name
+        if request.origin is not None:
+            rejection = self._version_rejection(request, request.origin)
+            if rejection is not None:
+                return rejection
         pushbacks = [
             target.pushback
-            for target in self._targets.of(service, self._region)
+            for target in self._of_origin(service, request.origin)
             if target.last_resort_until is None
         ]
         limits = [one.limit for one in pushbacks if one.limit.per_second]
@@ -165,6 +184,19 @@
             return Reject('targets_rest', after_seconds)
         return Reject('no_target', NO_TARGET_SECONDS)
 
+    def _version_rejection(
+        self, request: Request, origin: StreamOrigin
+    ) -> Reject | None:
+        """Return the rejection of a stream that can go on nowhere."""
+        reason = 'version_unknown'
+        if origin.software_version is not None:
+            if stream_regions(request, self._targets):
+                return None
+            reason = 'version_gone'
+        rejection = Reject(reason, NO_VERSION_SECONDS)
+        rejection.is_permanent = True
+        return rejection
+
     def _objective_seconds(self, service: str) -> float:
         return self._objectives.get(service, float('inf'))
 
@@ -175,11 +207,12 @@
         now: float,
         *,
         is_urgent: bool,
+        origin: StreamOrigin | None = None,
     ) -> list[Target]:
         evacuated = self._targets.evacuated
         candidates = [
             target
-            for target in self._targets.of(service, self._region)
+            for target in self._of_origin(service, origin)
             if target.record.data_centre not in evacuated
             and target.record.instance not in tried
             # Nothing listens there, so that the target looks idle and would
@@ -198,6 +231,19 @@
             if one.last_resort_until is not None and one.last_resort_until > now
         ]
 
+    def _of_origin(
+        self, service: str, origin: StreamOrigin | None
+    ) -> list[Target]:
+        """Return a service's targets here at which a stream may go on."""
+        found = self._targets.of(service, self._region)
+        if origin is None:
+            return found
+        return [
+            target
+            for target in found
+            if origin.admits(target.record.software_version)
+        ]
+
     def _is_admitted(
         self, target: Target, now: float, *, is_urgent: bool
     ) -> bool:
--- a/jacinthfold/placement/waiting_queue.py
+++ b/jacinthfold/placement/waiting_queue.py
@@ -28,15 +28,23 @@
 class RequestClass:
     """Name the requests that are alike for their placement."""
 
-    __slots__ = ('homes', 'priority', 'size')
+    __slots__ = ('homes', 'priority', 'size', 'software_version')
 
     def __init__(
-        self, priority: int, size: Size, homes: frozenset[str]
+        self,
+        priority: int,
+        size: Size,
+        homes: frozenset[str],
+        software_version: str = '',
     ) -> None:
-        """Set the priority, the size and the allowed regions, empty for all."""
+        """Set the priority, the size and the allowed regions, empty for all.
+
+        Streams that go on at one software version only are a class of theirs.
+        """
         self.priority = priority
         self.size = size
         self.homes = homes
+        self.software_version = software_version
 
     def __eq__(self, other: object) -> bool:
         """Compare all parts."""
@@ -54,13 +62,16 @@
         """
         if self.homes != other.homes:
             return False
+        # Others may be placed at targets of another version.
+        if self.software_version not in {'', other.software_version}:
+            return False
         if self.priority == other.priority:
             return self.size is other.size
         return self.priority < other.priority
 
     @property
-    def _key(self) -> tuple[int, Size, frozenset[str]]:
-        return (self.priority, self.size, self.homes)
+    def _key(self) -> tuple[int, Size, frozenset[str], str]:
+        return (self.priority, self.size, self.homes, self.software_version)
 
 
 class WaitingRequest:
--- a/jacinthfold/proxy/admitted_placement.py
+++ b/jacinthfold/proxy/admitted_placement.py
@@ -29,7 +29,12 @@
     ) -> Choice | None:
         """Return where a request runs, None if it isn't admitted."""
         choice = await self._choose_now(request, progress)
-        if isinstance(choice, Reject) and self._may_wait(progress):
+        is_rejected = isinstance(choice, Reject) and not choice.is_permanent
+        if (
+            isinstance(choice, Reject)
+            and is_rejected
+            and self._may_wait(progress)
+        ):
             choice = await self._wait(request, progress, choice)
         if choice is not None and not isinstance(choice, Reject):
             self.waiting.record_placed(request)
--- a/jacinthfold/proxy/attempts.py
+++ b/jacinthfold/proxy/attempts.py
@@ -84,6 +84,9 @@
         self.has_alternative: Callable[
             [Request, Collection[str], Collection[str]], bool
         ] = _always
+        # Called before a caller gets the first event of a stream, with the
+        # version of the software that made it, None if that is unknown.
+        self.on_begin: Callable[[Request, str | None], None] = _ignore_begin
         # Called when a request has ended at a target, however it ended: its
         # place is free again.
         self.on_place_freed: Callable[[Target], None] | None = None
@@ -125,8 +128,11 @@
         delivery.on_first_event = partial(
             self._record_first_event, load, target, began_at
         )
-        delivery.target_rejection = lambda: target.rejection_reason(
-            self._clock.monotonic(), is_counted=estimate.is_counted
+        # Records of this incarnation that come later may tell another version.
+        version = target.record.software_version
+        delivery.on_begin = lambda: self.on_begin(request, version)
+        delivery.target_rejection = lambda: self._rejection_reason(
+            request, estimate
         )
         delivery.on_head = lambda head: target.record_answer(
             head, began_at, self._clock.monotonic()
@@ -161,7 +167,7 @@
         region: RemoteRegion,
     ) -> Outcome:
         """Relay a request to a host of another region."""
-        host = self._choose_host(region)
+        host = self._choose_host(request, region)
         if host is None:
             return Outcome(Ending.NOT_RUN, 'no_host_in_region')
         self._regions.record_relayed(request, region)
@@ -189,6 +195,9 @@
         )
         delivery = Delivery(request, response, progress, timeout, self._clock)
         delivery.is_peer = True
+        delivery.on_begin = lambda: self.on_begin(
+            request, delivery.peer_version
+        )
         endpoint = (host.address, host.relay_port, host.name)
         outcome = await self._connect_and_send(
             endpoint, REGION_CONNECT_TIMEOUT_SECONDS, request, headers, delivery
@@ -196,12 +205,24 @@
         self._count(request, outcome)
         return outcome
 
-    def _choose_host(self, region: RemoteRegion) -> HostRecord | None:
+    def _rejection_reason(self, request: Request, estimate: Estimate) -> str:
+        target = estimate.target
+        if not request.may_run_at(target.record.software_version):
+            return 'other_version'
+        return target.rejection_reason(
+            self._clock.monotonic(), is_counted=estimate.is_counted
+        )
+
+    def _choose_host(
+        self, request: Request, region: RemoteRegion
+    ) -> HostRecord | None:
         names = set(region.hosts)
         found = [
             host
             for host in self._hosts.serving(region.name)
             if host.name in names
+            # Others would let the stream go on at any version.
+            and (request.origin is None or host.keeps_origins)
         ]
         return self._random.choice(found) if found else None
 
@@ -412,6 +433,10 @@
     """Do nothing with the time to a first event."""
 
 
+def _ignore_begin(_request: Request, _version: str | None) -> None:
+    """Do nothing when a stream begins."""
+
+
 def _always(
     _request: Request, _tried: Collection[str], _regions: Collection[str]
 ) -> bool:
--- a/jacinthfold/proxy/delivery.py
+++ b/jacinthfold/proxy/delivery.py
@@ -5,6 +5,7 @@
 
 from jacinthfold.catalogue.model import RetryPolicy
 from jacinthfold.clock import Clock
+from jacinthfold.proxy import relay_header
 from jacinthfold.proxy.caller_response import CallerResponse
 from jacinthfold.proxy.events import EventSplitter
 from jacinthfold.proxy.outcome import Ending, Outcome
@@ -47,6 +48,10 @@
         self.is_peer = False
         # Whether the peer closed the connection before the response ended.
         self.is_broken = False
+        # Version of the target's software, as a peer told it.
+        self.peer_version: str | None = None
+        # Records where a stream begins, before its caller gets an event.
+        self.on_begin: Callable[[], None] = _ignore_activity
         self.channel: Channel | None = None
         self._is_withdrawn = False
         self.on_first_event: Callable[[], None] | None = None
@@ -77,6 +82,8 @@
         )
         self.on_activity()
         self.on_head(head)
+        if self.is_peer:
+            self.peer_version = relay_header.take_version(head)
         return head
 
     async def deliver(self, exchange: Exchange, head: ResponseHead) -> Outcome:
@@ -120,22 +127,29 @@
             self._progress.last_event_id = splitter.last_event_id
         await self._forward_events(splitter.incomplete, head)
         if not self._response.has_started:
-            await self._response.start(head.status, head.end_to_end_headers())
+            await self._start_response(head)
         await self._response.finish()
         return Outcome(Ending.DELIVERED)
 
     async def _forward_events(self, events: bytes, head: ResponseHead) -> None:
         if not events:
             return
+        self.on_begin()
         if not self.first_event_at:
             self.first_event_at = self._clock.monotonic()
             self._record_first_event()
             if self.on_first_event is not None:
                 self.on_first_event()
         if not self._response.has_started:
-            await self._response.start(head.status, head.end_to_end_headers())
+            await self._start_response(head)
         await self._response.write(events)
 
+    async def _start_response(self, head: ResponseHead) -> None:
+        headers = head.end_to_end_headers()
+        if self._request.is_relayed:
+            headers += relay_header.version_header(self._request.origin)
+        await self._response.start(head.status, headers)
+
     def _record_first_event(self) -> None:
         # A stream that was resumed at another target has begun before.
         if self._progress.first_event_seconds is None:
--- a/jacinthfold/proxy/relay_header.py
+++ b/jacinthfold/proxy/relay_header.py
@@ -2,11 +2,18 @@
 
 import json
 from typing import Annotated
+from urllib.parse import quote, unquote
 
 import msgspec
 
 from jacinthfold.catalogue.model import RetryPolicy, Route
-from jacinthfold.request.messages import Headers, Request, first_header
+from jacinthfold.request.messages import (
+    Headers,
+    Request,
+    ResponseHead,
+    first_header,
+)
+from jacinthfold.request.stream_origin import StreamOrigin
 
 # Internal headers are dropped from callers' requests and are never sent to
 # targets.
@@ -15,7 +22,11 @@
 # Sent beside the outcome "not_run". Hosts of the previous version read only the
 # outcome.
 REASON_HEADER = b'jacinthfold-reason'
-INTERNAL_HEADERS = frozenset((REQUEST_HEADER, OUTCOME_HEADER, REASON_HEADER))
+# The software version at which the stream of a response began.
+VERSION_HEADER = b'jacinthfold-version'
+INTERNAL_HEADERS = frozenset(
+    (REQUEST_HEADER, OUTCOME_HEADER, REASON_HEADER, VERSION_HEADER)
+)
 
 
 # Longer than any route allows; a higher value is an error of the sender.
@@ -42,6 +53,8 @@
     elapsed_seconds: _Seconds
     organisation: str = ''
     paid: bool = False
+    # The attempt and the software version that began the stream.
+    begun: tuple[str, str] | None = None
 
 
 _route_decoder = msgspec.json.Decoder(_RelayedRoute)
@@ -105,10 +118,33 @@
         # The name, never the key: the other host looks the name up itself.
         document['organisation'] = request.organisation.name
         document['paid'] = has_permit
+    origin = request.origin
+    if origin is not None and origin.software_version is not None:
+        document['begun'] = (origin.attempt_id, origin.software_version)
     content = json.dumps(document, separators=(',', ':')).encode()
     return [(REQUEST_HEADER, content)]
 
 
+def version_header(origin: StreamOrigin | None) -> Headers:
+    """Return the header that tells a peer where a stream began."""
+    if origin is None or origin.software_version is None:
+        return []
+    # Versions may have characters that headers can't.
+    return [(VERSION_HEADER, quote(origin.software_version, safe='').encode())]
+
+
+def take_version(head: ResponseHead) -> str | None:
+    """Remove a peer's version header from a response and return its value.
+
+    Hosts of the previous version send none.
+    """
+    content = first_header(head.headers, VERSION_HEADER)
+    head.headers = [
+        pair for pair in head.headers if pair[0].lower() != VERSION_HEADER
+    ]
+    return unquote(content.decode('latin-1')) or None
+
+
 def apply_route(request: Request, now: float) -> str:
     """Apply the route that another host wrote; raise ValueError.
 
@@ -134,6 +170,8 @@
     request.received_at = now - document.elapsed_seconds
     request.deadline = now + remaining_seconds
     request.has_permit = document.paid
+    if document.begun is not None:
+        request.origin = StreamOrigin(*document.begun)
     return document.organisation
 
 
--- a/jacinthfold/request/messages.py
+++ b/jacinthfold/request/messages.py
@@ -2,6 +2,7 @@
 
 from jacinthfold.catalogue.model import RetryPolicy, Route
 from jacinthfold.organisations.model import Organisation
+from jacinthfold.request.stream_origin import StreamOrigin
 
 Headers = list[tuple[bytes, bytes]]
 # Priorities of routes that are told apart within one priority of organisations;
@@ -118,6 +119,7 @@
         'is_relayed',
         'method',
         'organisation',
+        'origin',
         'path',
         'received_at',
         'retry_at',
@@ -156,6 +158,8 @@
         # Whether it was counted in the demand for places, however often it is
         # placed.
         self.is_demand_counted = False
+        # Where its stream began; None until its caller has received an event.
+        self.origin: StreamOrigin | None = None
         # When its caller is to retry for a place; 0 if it got no such time.
         self.retry_at = 0.0
 
@@ -172,6 +176,10 @@
         """Check whether it may run more than once."""
         return self.route.retry_policy is not RetryPolicy.NEVER
 
+    def may_run_at(self, software_version: str) -> bool:
+        """Check whether targets of a software version may serve it."""
+        return self.origin is None or self.origin.admits(software_version)
+
     @property
     def is_urgent(self) -> bool:
         """Check whether few requests go before it at a target."""
--- /dev/null
+++ b/jacinthfold/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Keep streams at the software version that began them."""
