Let a stream that its caller takes up go on only where it began

Cause: nothing that a host keeps or tells says where a stream began; the host that a caller comes back to chose as for a new stream.

Hosts now remember where the streams that they serve began, under the attempt that brought the first event (Resumes). While a service has several versions, counted for as long as any stream lasts, the host tells three others before the first event goes out, two of its region and one elsewhere, which a hash of the attempt picks; when a second version appears it tells them of its recent streams. A host that doesn't know asks those that may, for 0.35 s at most. With one version nobody is told or asked. What stays unknown is rejected as not run, with a time to come back.

Weighed: telling all hosts (grows with the fleet), a store write a stream (its rates), a version derived from the attempt's identifier (two hosts differ while versions come and go, and it takes away the choice by load).

--- a/jacinthfold/gateway/node.py
+++ b/jacinthfold/gateway/node.py
@@ -63,7 +63,10 @@
         self._drain = Drain(clock)
         own = own_record(settings)
         self._view = ClusterView(own, settings, adapter, http_client, clock)
-        self._origins = StreamOrigins(self._view.targets.versions)
+        self._origins = StreamOrigins(
+            self._view.hosts, self._view.targets.versions, clock
+        )
+        self._origins.connect(self._view.heartbeats)
         self._build_listeners(adapter)
         self.metrics.in_flight.set_function(self._in_flight_count)
         self.metrics.store.follow(self._view.catalogue)
@@ -95,6 +98,7 @@
             self.metrics,
             self._clock,
         )
+        forwarder.resolve_origin = self._origins.resolve
         self._waiting = forwarder.placement.waiting
         self._waiting.set_limit(self.settings.overload.waiting_requests)
         self._waiting.may_start = self._drain.may_start
--- a/jacinthfold/placement/choice.py
+++ b/jacinthfold/placement/choice.py
@@ -206,7 +206,9 @@
         if remote is not None and remote.seconds <= allowed:
             return RelayTo(remote)
         if is_waiting and best is None and remote is None:
-            return Reject('no_target', NO_TARGET_SECONDS)
+            return self._usable.version_rejection(request) or Reject(
+                'no_target', NO_TARGET_SECONDS
+            )
         choice = self._late.choose(request, best, remote)
         if best is None and isinstance(choice, Reject):
             return (
--- a/jacinthfold/placement/usable.py
+++ b/jacinthfold/placement/usable.py
@@ -157,13 +157,25 @@
         rejection.inputs = _place_inputs(full, objective, per_second, now)
         return rejection
 
+    def version_rejection(self, request: Request) -> Reject | None:
+        """Return the rejection of a stream that can go on nowhere."""
+        if request.origin is None:
+            return None
+        reason = 'version_unknown'
+        if request.origin.software_version is not None:
+            if stream_regions(request, self._targets):
+                return None
+            reason = 'version_gone'
+        rejection = Reject(reason, NO_VERSION_SECONDS)
+        rejection.is_permanent = True
+        return rejection
+
     def no_target_rejection(self, request: Request, now: float) -> Reject:
         """Return a rejection with the reason why no target is usable."""
         service = request.service_name
-        if request.origin is not None:
-            rejection = self._version_rejection(request, request.origin)
-            if rejection is not None:
-                return rejection
+        rejection = self.version_rejection(request)
+        if rejection is not None:
+            return rejection
         pushbacks = [
             target.pushback
             for target in self._of_origin(service, request.origin)
@@ -184,19 +196,6 @@
             return Reject('targets_rest', after_seconds)
         return Reject('no_target', NO_TARGET_SECONDS)
 
-    def _version_rejection(
-        self, request: Request, origin: StreamOrigin
-    ) -> Reject | None:
-        """Return the rejection of a stream that can go on nowhere."""
-        reason = 'version_unknown'
-        if origin.software_version is not None:
-            if stream_regions(request, self._targets):
-                return None
-            reason = 'version_gone'
-        rejection = Reject(reason, NO_VERSION_SECONDS)
-        rejection.is_permanent = True
-        return rejection
-
     def _objective_seconds(self, service: str) -> float:
         return self._objectives.get(service, float('inf'))
 
--- a/jacinthfold/proxy/admitted_placement.py
+++ b/jacinthfold/proxy/admitted_placement.py
@@ -29,12 +29,7 @@
     ) -> Choice | None:
         """Return where a request runs, None if it isn't admitted."""
         choice = await self._choose_now(request, progress)
-        is_rejected = isinstance(choice, Reject) and not choice.is_permanent
-        if (
-            isinstance(choice, Reject)
-            and is_rejected
-            and self._may_wait(progress)
-        ):
+        if isinstance(choice, Reject) and self._may_wait(choice, progress):
             choice = await self._wait(request, progress, choice)
         if choice is not None and not isinstance(choice, Reject):
             self.waiting.record_placed(request)
@@ -58,10 +53,11 @@
             request, progress.tried, progress.tried_regions
         )
 
-    def _may_wait(self, progress: Progress) -> bool:
+    def _may_wait(self, rejection: Reject, progress: Progress) -> bool:
         """Tell whether a request has not run and may still be sent."""
         return (
             self.waiting.is_enabled
+            and not rejection.is_permanent
             and not progress.may_have_run
             and progress.not_run_count < MAX_NOT_RUN_SENDS
         )
--- a/jacinthfold/proxy/forwarding.py
+++ b/jacinthfold/proxy/forwarding.py
@@ -1,6 +1,7 @@
 """Run a request's attempts until it has a final response."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
 from jacinthfold import logs
@@ -67,6 +68,8 @@
         self._metrics = metrics
         self._clock = clock
         self._rejection_lines = RejectionLines(clock)
+        # Finds where a stream began that its caller takes up again.
+        self.resolve_origin: Callable[[Request], Awaitable[None]] = _skip
 
     async def serve(self, request: Request, response: CallerResponse) -> None:
         """Serve a request; a response that broke midway stays unfinished."""
@@ -74,6 +77,7 @@
         remaining_seconds = request.deadline - self._clock.monotonic()
         try:
             async with asyncio.timeout(max(0.0, remaining_seconds)):
+                await self.resolve_origin(request)
                 await self._run_attempts(request, response, progress)
         except TimeoutError:
             progress.reason = 'deadline'
@@ -102,6 +106,9 @@
             self._rejection_lines.log(request, choice)
             if choice.reason == 'no_place':
                 self._metrics.no_place.labels(request.service_name).inc()
+            if choice.is_permanent:
+                resumed_by = _resumed_by(request, response)
+                self._count_resumed(request, resumed_by, choice.reason)
             progress.record_placement_rejection(choice)
             return False
         if not self._may_send(request, progress):
@@ -118,22 +125,27 @@
         """Make one attempt; return whether another one may follow."""
         now = self._clock.monotonic()
         request_log.log_choice(request, choice, progress, now)
-        resumed_by = _resumed_by(progress, response)
+        resumed_by = _resumed_by(request, response)
         try:
             outcome = await self._attempt(request, response, progress, choice)
         finally:
             self.placement.record_end(request)
         progress.record_attempt(choice, outcome)
-        if resumed_by:
-            self._metrics.resumed_streams.labels(
-                request.service_name, resumed_by, outcome.ending.value
-            ).inc()
+        self._count_resumed(request, resumed_by, outcome.ending.value)
         if outcome.ending is Ending.DELIVERED:
             self._record_served(request, response)
             return False
         request_log.log_failure(request, progress, outcome)
         return self._may_retry(request, progress, outcome, response)
 
+    def _count_resumed(
+        self, request: Request, resumed_by: str, ending: str
+    ) -> None:
+        if resumed_by:
+            self._metrics.resumed_streams.labels(
+                request.service_name, resumed_by, ending
+            ).inc()
+
     def _record_served(
         self, request: Request, response: CallerResponse
     ) -> None:
@@ -289,8 +301,13 @@
         self._metrics.request_seconds.labels(service).observe(elapsed_seconds)
 
 
-def _resumed_by(progress: Progress, response: CallerResponse) -> str:
+def _resumed_by(request: Request, response: CallerResponse) -> str:
     """Return who resumes a stream with the next attempt, '' for new ones."""
     if response.has_started:
         return 'host'
-    return 'caller' if progress.last_event_id else ''
+    facts = request.facts
+    return 'caller' if facts.last_event_id or facts.resumed_id else ''
+
+
+async def _skip(_request: Request) -> None:
+    """Find nothing about a request."""
--- a/jacinthfold/proxy/waiting.py
+++ b/jacinthfold/proxy/waiting.py
@@ -136,7 +136,9 @@
                 return Reject('leaving', LEAVING_RETRY_SECONDS)
             place.trials += 1
             choice = await trial(is_last)
-            if is_last or not isinstance(choice, Reject):
+            if not isinstance(choice, Reject):
+                return choice
+            if is_last or choice.is_permanent:
                 return choice
             place.reset()
             self._queue_of(place.request).block(place.entry)
--- a/jacinthfold/streams/origins.py
+++ b/jacinthfold/streams/origins.py
@@ -1,23 +1,99 @@
-"""Record where streams began, so that they go on nowhere else."""
+"""Record where streams began, and find it for those that are taken up."""
 
+from jacinthfold import logs
 from jacinthfold.catalogue.model import RetryPolicy
+from jacinthfold.clock import Clock
+from jacinthfold.fleet.heartbeats import Heartbeats
+from jacinthfold.fleet.table import HostTable
 from jacinthfold.placement.software_versions import SoftwareVersions
 from jacinthfold.request.messages import Request
 from jacinthfold.request.stream_origin import StreamOrigin
+from jacinthfold.streams.exchange import OriginExchange
+from jacinthfold.streams.messages import ORIGIN_MARK, attempt_key
+from jacinthfold.streams.table import OriginTable
+
+# Streams that are told when their service comes to have several versions.
+MAX_TOLD_AT_ONCE = 1000
+MAX_LOGGED_CHARACTERS = 64
 
 
 class StreamOrigins:
     """Know at which software version the streams of callers began."""
 
-    def __init__(self, versions: SoftwareVersions) -> None:
-        """Use the versions of each service."""
+    def __init__(
+        self, hosts: HostTable, versions: SoftwareVersions, clock: Clock
+    ) -> None:
+        """Use the versions of each service and the hosts to tell and ask."""
         self._versions = versions
+        self.table = OriginTable(clock, lambda: versions.retention)
+        self.exchange = OriginExchange(hosts, self.table, clock)
+        versions.on_mixed = self._tell_recent
+
+    def connect(self, heartbeats: Heartbeats) -> None:
+        """Exchange messages with other hosts on the heartbeats' socket."""
+        heartbeats.datagram_handlers[ORIGIN_MARK] = (
+            self.exchange.handle_datagram
+        )
+        self.exchange.send = heartbeats.send
 
     def record_begin(self, request: Request, version: str | None) -> None:
         """Record that the caller gets an event from a software version."""
-        if request.origin is not None:
+        if request.route.retry_policy is not RetryPolicy.RESUMED:
+            return
+        service = request.service_name
+        if request.origin is None:
+            version = self._versions.origin_version(service, version)
+            request.origin = StreamOrigin(request.facts.request_id, version)
+        origin = request.origin
+        if not origin.attempt_id or origin.software_version is None:
+            return
+        attempt = attempt_key(origin.attempt_id)
+        is_new = self.table.record(attempt, service, origin.software_version)
+        # With one version, any host knows where each stream may go on.
+        if is_new and self._versions.is_mixed(service):
+            self.exchange.tell(service, origin.software_version, [attempt])
+
+    async def resolve(self, request: Request) -> None:
+        """Find where a stream began that its caller takes up."""
+        facts = request.facts
+        is_taken_up = facts.last_event_id or facts.resumed_id
+        if request.origin is not None or not is_taken_up:
             return
         if request.route.retry_policy is not RetryPolicy.RESUMED:
             return
-        version = self._versions.origin_version(request.service_name, version)
-        request.origin = StreamOrigin(request.facts.request_id, version)
+        # A relaying host of the previous version resumes its own attempt.
+        attempt_id = facts.resumed_id or facts.request_id
+        version, source = await self._find(request.service_name, attempt_id)
+        request.origin = StreamOrigin(attempt_id, version)
+        if source != 'only':
+            logs.event(
+                'stream_taken_up',
+                request=facts.request_id,
+                service=request.service_name,
+                resumes=attempt_id[:MAX_LOGGED_CHARACTERS],
+                last_event_id=facts.last_event_id[:MAX_LOGGED_CHARACTERS],
+                software_version=version,
+                source=source,
+            )
+
+    async def _find(
+        self, service: str, attempt_id: str
+    ) -> tuple[str | None, str]:
+        """Return the version that began a stream, and who told it."""
+        only = self._versions.only(service)
+        if only is not None:
+            return only, 'only'
+        attempt = attempt_key(attempt_id)
+        version = self.table.version(attempt, service)
+        if version is not None:
+            return version, 'own'
+        version = await self.exchange.ask(service, attempt)
+        return version, 'unknown' if version is None else 'asked'
+
+    def _tell_recent(self, service: str) -> None:
+        """Tell other hosts of streams that began at the only version."""
+        by_version: dict[str, list[int]] = {}
+        for attempt, version in self.table.newest(service, MAX_TOLD_AT_ONCE):
+            by_version.setdefault(version, []).append(attempt)
+        for version, attempts in by_version.items():
+            self.exchange.tell(service, version, attempts)
--- a/tests/gateway/test_mixed_versions.py
+++ b/tests/gateway/test_mixed_versions.py
@@ -23,6 +23,7 @@
         ('north-b', 'north-1'),
         ('south-a', 'south-1'),
     )
+    streams.earn_retries(deployment, 'north-a', 5 * CUT_STREAMS)
     streams.set_scripts(deployment, cut_at=3)
     answers = [streams.ask(deployment, 'north-a') for _ in range(CUT_STREAMS)]
     mixed = [
--- a/tests/gateway/versioned_streams.py
+++ b/tests/gateway/versioned_streams.py
@@ -79,6 +79,15 @@
         target.executed.clear()
 
 
+def earn_retries(deployment, host, count):
+    """Send requests that are served, from which a host may retry others."""
+    for target in deployment.targets.values():
+        target.script = standin.serve_plain
+    for _ in range(count):
+        deployment.ask(host, '/warm/x')
+    set_scripts(deployment)
+
+
 def versions_of(*bodies):
     """Return the versions whose pieces stand in the bodies."""
     return {
@@ -148,6 +157,7 @@
     'TakenUp',
     'add_targets',
     'ask',
+    'earn_retries',
     'numbers_of',
     'set_scripts',
     'start',
