Store which services have several software versions

A host that starts knows only the targets that are listed then. If all hosts restart when a release has just ended, they see one version, take it for the only one and let streams of the version before go on at it; a test that kills all hosts after the last target of v1 has gone shows that such streams are rejected now.

One of the hosts that watch the store writes a record of a service's versions under a lease of twice the time for which a version counts, again each time that half of it has passed or a version has come; with one version in a service nothing is written.

Tests of streams that are taken up: after the host that began them was killed, twice, with a frozen host among those asked, unknown, of another service, of a version that is gone, after a restart of all hosts with one version, and of streams that began before the second version came.

--- a/jacinthfold/catalogue/listeners.py
+++ b/jacinthfold/catalogue/listeners.py
@@ -4,6 +4,7 @@
 from typing import Any, Protocol
 
 from jacinthfold import logs
+from jacinthfold.catalogue import version_record
 from jacinthfold.catalogue.model import HostRecord, RouteTable, TargetRecord
 from jacinthfold.catalogue.record import Record, RecordKind, RecordReader
 from jacinthfold.catalogue.revision import log_fields
@@ -36,6 +37,9 @@
         Without content there is no such host.
         """
 
+    def on_versions(self, service: str, versions: tuple[str, ...]) -> None:
+        """Handle the versions in a service's record, none if it is gone."""
+
     def on_restored(self) -> None:
         """Write again what the store has lost, which came back from a copy."""
 
@@ -54,6 +58,8 @@
         self.listeners: list[CatalogueListener] = []
         self.routes: RouteTable | None = None
         self.evacuated: frozenset[str] = frozenset()
+        # By name of the record of their software versions.
+        self._services: dict[str, str] = {}
 
     def notify_restored(self) -> None:
         """Notify listeners that the store came back from a copy."""
@@ -82,6 +88,7 @@
             RecordKind.HOST: self._notify_host,
             RecordKind.QUARANTINE: self._notify_quarantine,
             RecordKind.ISSUER: self._notify_issuer,
+            RecordKind.VERSIONS: self._notify_versions,
         }
         if kind in notifiers:
             notifiers[kind](name, record)
@@ -141,3 +148,13 @@
     def _notify_issuer(self, name: str, record: Record) -> None:
         for listener in self.listeners:
             listener.on_issuer(name, record)
+
+    def _notify_versions(self, name: str, record: Record) -> None:
+        versions: tuple[str, ...] = ()
+        service = self._services.get(name, '')
+        if record.content is not None:
+            document = version_record.decode(record.content)
+            service, versions = document.service, document.versions
+            self._services[name] = service
+        for listener in self.listeners:
+            listener.on_versions(service, versions)
--- a/jacinthfold/catalogue/metadata.py
+++ b/jacinthfold/catalogue/metadata.py
@@ -91,6 +91,11 @@
     ) -> None:
         """Write records of requests during which targets crashed."""
 
+    async def write_versions(
+        self, contents: Mapping[str, bytes], lease: Lease
+    ) -> None:
+        """Write records of services' software versions."""
+
     async def create_quarantine(self, name: str, content: bytes) -> None:
         """Create a permanent record; raise MetadataConflictError."""
 
--- a/jacinthfold/catalogue/record.py
+++ b/jacinthfold/catalogue/record.py
@@ -31,6 +31,7 @@
     HOST = 'host'
     QUARANTINE = 'quarantine'
     ISSUER = 'issuer'
+    VERSIONS = 'versions'
     OTHER = 'other'
 
 
--- a/jacinthfold/gateway/cluster_view.py
+++ b/jacinthfold/gateway/cluster_view.py
@@ -177,6 +177,10 @@
         """Apply the record of the host that issues cap shares, if any."""
         self.organisations.quota.issuers.apply_record(name, issuer)
 
+    def on_versions(self, service: str, versions: tuple[str, ...]) -> None:
+        """Apply the record of a service's software versions."""
+        self.targets.versions.apply_record(service, versions)
+
     def on_restored(self) -> None:
         """Write again what a store that came back from a copy has lost."""
         self.quarantine.write_again()
--- a/jacinthfold/gateway/node.py
+++ b/jacinthfold/gateway/node.py
@@ -64,9 +64,9 @@
         own = own_record(settings)
         self._view = ClusterView(own, settings, adapter, http_client, clock)
         self._origins = StreamOrigins(
-            self._view.hosts, self._view.targets.versions, clock
+            self._view.hosts, self._view.targets.versions, adapter.store, clock
         )
-        self._origins.connect(self._view.heartbeats)
+        self._origins.connect(self._view.heartbeats, self._view.follower)
         self._build_listeners(adapter)
         self.metrics.in_flight.set_function(self._in_flight_count)
         self.metrics.store.follow(self._view.catalogue)
@@ -186,6 +186,7 @@
             view.run_housekeeping,
             view.quarantine.key_creator.run,
             view.quarantine.writer.run,
+            self._origins.version_writer.run,
             self._watch_settings,
         ):
             self._start_task(supervised(background_task))
--- a/jacinthfold/placement/software_versions.py
+++ b/jacinthfold/placement/software_versions.py
@@ -14,7 +14,14 @@
 class SoftwareVersions:
     """Hold the versions that a stream which still lasts may have begun at."""
 
-    __slots__ = ('_clock', '_gone_at', '_present', 'on_mixed', 'retention')
+    __slots__ = (
+        '_clock',
+        '_gone_at',
+        '_present',
+        '_recorded',
+        'on_mixed',
+        'retention',
+    )
 
     def __init__(self, clock: Clock) -> None:
         """Start without versions."""
@@ -22,6 +29,9 @@
         self._present: dict[str, frozenset[str]] = {}
         # When the last target of a version went, by service.
         self._gone_at: dict[str, dict[str, float]] = {}
+        # Versions in the metadata store with the time of their record, by
+        # service.
+        self._recorded: dict[str, tuple[frozenset[str], float]] = {}
         # Seconds for which a version counts after its last target.
         self.retention = MIN_RETENTION_SECONDS
         # Called with a service that has come to have several versions.
@@ -53,8 +63,35 @@
         for service in changed:
             self._report(service, was_mixed=service in was_mixed)
 
+    def apply_record(self, service: str, versions: tuple[str, ...]) -> None:
+        """Apply the record of a service, without versions if it is gone."""
+        was_mixed = self.is_mixed(service)
+        now = self._clock.monotonic()
+        self._recorded[service] = (frozenset(versions), now)
+        if not was_mixed and self.is_mixed(service):
+            self._report(service, was_mixed=False)
+
+    def unrecorded(self) -> list[str]:
+        """Return mixed services whose record is missing or about to expire."""
+        limit = self._clock.monotonic() - self.retention
+        found = []
+        services = self._present.keys() | self._gone_at.keys()
+        for service in services:
+            observed = self.observed(service)
+            recorded, at = self._recorded.get(service, (frozenset(), limit))
+            is_missing = not observed <= recorded or at <= limit
+            if len(observed) > 1 and is_missing:
+                found.append(service)
+        return found
+
     def recent(self, service: str) -> frozenset[str]:
         """Return the versions that a stream may have begun at."""
+        recorded = self._recorded.get(service)
+        observed = self.observed(service)
+        return observed | recorded[0] if recorded else observed
+
+    def observed(self, service: str) -> frozenset[str]:
+        """Return the versions of targets that this host has known."""
         present = self._present.get(service, frozenset())
         gone_at = self._gone_at.get(service)
         if not gone_at:
--- a/jacinthfold/platform/documents.py
+++ b/jacinthfold/platform/documents.py
@@ -21,6 +21,7 @@
 HOST_PREFIX = 'hosts/'
 QUARANTINE_PREFIX = 'quarantine/'
 ISSUER_PREFIX = 'issuers/'
+VERSIONS_PREFIX = 'versions/'
 # Errors raised by decoding a document of an unexpected structure.
 MALFORMED_ERRORS = (
     ValueError,
@@ -48,6 +49,7 @@
             (HOST_PREFIX, RecordKind.HOST),
             (QUARANTINE_PREFIX, RecordKind.QUARANTINE),
             (ISSUER_PREFIX, RecordKind.ISSUER),
+            (VERSIONS_PREFIX, RecordKind.VERSIONS),
         ):
             if key.startswith(prefix):
                 return kind, key.removeprefix(prefix)
--- a/jacinthfold/platform/store.py
+++ b/jacinthfold/platform/store.py
@@ -28,6 +28,7 @@
     ISSUER_PREFIX,
     QUARANTINE_PREFIX,
     ROUTES_KEY,
+    VERSIONS_PREFIX,
 )
 from jacinthfold.request.messages import Headers, first_header
 from jacinthfold.request.numbers import excerpt
@@ -156,12 +157,13 @@
         self, contents: Mapping[str, bytes], lease: Lease
     ) -> None:
         """Write quarantine records of requests that crashed targets."""
-        puts = [
-            _put(f'{QUARANTINE_PREFIX}{name}', content, lease)
-            for name, content in contents.items()
-        ]
-        body = {'expected-rev': [], 'puts': puts, 'remove': []}
-        await self._call_under(lease, 'POST', '/api/kv-txn', body)
+        await self._write_under(QUARANTINE_PREFIX, contents, lease)
+
+    async def write_versions(
+        self, contents: Mapping[str, bytes], lease: Lease
+    ) -> None:
+        """Write records of services' software versions."""
+        await self._write_under(VERSIONS_PREFIX, contents, lease)
 
     async def create_quarantine(self, name: str, content: bytes) -> None:
         """Create a permanent quarantine record; raise MetadataConflictError."""
@@ -171,6 +173,16 @@
         body = {'expected-rev': expected, 'puts': puts, 'remove': []}
         await self._call('POST', '/api/kv-txn', body)
 
+    async def _write_under(
+        self, prefix: str, contents: Mapping[str, bytes], lease: Lease
+    ) -> None:
+        puts = [
+            _put(f'{prefix}{name}', content, lease)
+            for name, content in contents.items()
+        ]
+        body = {'expected-rev': [], 'puts': puts, 'remove': []}
+        await self._call_under(lease, 'POST', '/api/kv-txn', body)
+
     async def _list(self, prefix: str) -> tuple[list[Record], int]:
         records: list[Record] = []
         query: dict[str, Any] = {'prefix': prefix}
--- a/jacinthfold/streams/origins.py
+++ b/jacinthfold/streams/origins.py
@@ -1,6 +1,8 @@
 """Record where streams began, and find it for those that are taken up."""
 
 from jacinthfold import logs
+from jacinthfold.catalogue.follower import Follower
+from jacinthfold.catalogue.metadata import MetadataStore
 from jacinthfold.catalogue.model import RetryPolicy
 from jacinthfold.clock import Clock
 from jacinthfold.fleet.heartbeats import Heartbeats
@@ -11,6 +13,7 @@
 from jacinthfold.streams.exchange import OriginExchange
 from jacinthfold.streams.messages import ORIGIN_MARK, attempt_key
 from jacinthfold.streams.table import OriginTable
+from jacinthfold.streams.version_writer import VersionWriter
 
 # Streams that are told when their service comes to have several versions.
 MAX_TOLD_AT_ONCE = 1000
@@ -21,16 +24,22 @@
     """Know at which software version the streams of callers began."""
 
     def __init__(
-        self, hosts: HostTable, versions: SoftwareVersions, clock: Clock
+        self,
+        hosts: HostTable,
+        versions: SoftwareVersions,
+        store: MetadataStore,
+        clock: Clock,
     ) -> None:
         """Use the versions of each service and the hosts to tell and ask."""
         self._versions = versions
         self.table = OriginTable(clock, lambda: versions.retention)
         self.exchange = OriginExchange(hosts, self.table, clock)
+        self.version_writer = VersionWriter(store, versions)
         versions.on_mixed = self._tell_recent
 
-    def connect(self, heartbeats: Heartbeats) -> None:
+    def connect(self, heartbeats: Heartbeats, follower: Follower) -> None:
         """Exchange messages with other hosts on the heartbeats' socket."""
+        self.version_writer.may_write = lambda: follower.watches()
         heartbeats.datagram_handlers[ORIGIN_MARK] = (
             self.exchange.handle_datagram
         )
--- /dev/null
+++ b/tests/gateway/test_streams_taken_up.py
@@ -0,0 +1,172 @@
+"""Streams that callers take up again, while hosts and versions come and go."""
+
+import signal
+
+import pytest
+
+from tests.gateway import versioned_streams as streams
+from tests.gateway.deployment import call
+from tools.fleet import wait_until
+
+HOSTS = (('north-a', 'north-1'), ('north-b', 'north-1'), ('south-a', 'south-1'))
+TARGETS = ('v1-north-1', 'v2-north-2', 'v1-north-3', 'v2-north-4')
+
+
+@pytest.fixture
+def fleet(deployment):
+    """Start three hosts and two targets of each of two versions."""
+    streams.add_targets(deployment, *TARGETS)
+    streams.start(deployment, *HOSTS)
+    streams.set_scripts(deployment, pause_seconds=0.03)
+    return deployment
+
+
+def restart(deployment, *names):
+    """Kill hosts and start them again; they know nothing of before."""
+    for name in names:
+        deployment.hosts[name].kill()
+    for name in names:
+        deployment.hosts[name].start()
+    for name in names:
+        deployment.wait_ready(name)
+
+
+def remove_targets(deployment, version):
+    """Remove the targets of a version from the store."""
+    for name in list(deployment.targets):
+        if name.startswith(f'{version}-'):
+            deployment.store.remove(f'servers/{name}')
+            deployment.targets.pop(name)
+
+
+def test_stream_of_a_killed_host_goes_on(fleet):
+    """Guards against knowledge that only the host that began a stream has."""
+    begun = [streams.TakenUp(fleet, 'north-a') for _ in range(8)]
+    fleet.hosts['north-a'].kill()
+    answers = [one.go_on('north-b') for one in begun]
+    for one, answer in zip(begun, answers, strict=True):
+        assert answer.status == 200
+        assert len(streams.versions_of(one.first_body, answer.body)) == 1
+        numbers = streams.numbers_of(one.first_body, answer.body)
+        assert numbers == list(range(1, streams.TOTAL + 1))
+
+
+def test_stream_is_taken_up_twice(fleet):
+    """Guards against a second return that names the first attempt again."""
+    begun = streams.TakenUp(fleet, 'north-a', pieces=2)
+    first = begun.go_on('south-a')
+    second = begun.go_on('north-b')
+    versions = streams.versions_of(begun.first_body, first.body, second.body)
+    assert len(versions) == 1
+    assert (first.status, second.status) == (200, 200)
+
+
+def test_stream_whose_version_is_unknown_is_rejected(fleet):
+    """Guards against a guess where no host knows who began a stream."""
+    run_count = sum(len(one.executed) for one in fleet.targets.values())
+    for resumes in ([('Resumes', 'never-seen')], [], [('Resumes', 'x' * 9000)]):
+        answer = streams.ask(fleet, 'north-a', ('Last-Event-Id', '3'), *resumes)
+        assert answer.status == 503
+        assert float(answer.headers['retry-after']) > 0
+    assert run_count == sum(len(one.executed) for one in fleet.targets.values())
+    wait_until(
+        lambda: (
+            fleet.hosts['north-a'].log().count('reason=version_unknown') >= 3
+        ),
+        'the host has logged each rejection',
+    )
+    metrics = call(fleet.hosts['north-a'].metrics, '/metrics').body
+    assert b'ending="version_unknown",service="model"' in metrics
+
+
+def test_attempt_of_another_service_names_no_version(fleet):
+    """Guards against a version of one service that is taken for another's."""
+    begun = streams.TakenUp(fleet, 'north-a')
+    fleet.put_routes(
+        streams.route('/review/', 'model2', 'stream', resumable=True),
+        services=('desk', 'model', 'model2'),
+    )
+    for number, version in enumerate(('v1', 'v2')):
+        fleet.add_target(f'{version}-other-{number}', 'model2', version=version)
+    streams.set_scripts(fleet)
+    wait_until(
+        lambda: streams.ask(fleet, 'north-b').status == 200, 'it is served'
+    )
+    wait_until(
+        lambda: 'service=model2 versions=v1,v2' in fleet.hosts['north-b'].log(),
+        'the host knows both versions',
+    )
+    assert begun.go_on('north-b').status == 503
+
+
+def test_stream_whose_version_is_gone_is_rejected_at_once(fleet):
+    """Guards against another version as the last resort of a stream."""
+    begun = [streams.TakenUp(fleet, 'north-a') for _ in range(6)]
+    begun = [one for one in begun if b'v1.' in one.first_body]
+    for name in list(fleet.targets):
+        if name.startswith('v1-'):
+            fleet.put_target(name, 'model', version='v1', state='draining')
+            fleet.store.remove(f'servers/{name}')
+    wait_until(
+        lambda: fleet.hosts['north-b'].log().count('event=target_gone') == 2,
+        'the version is gone',
+    )
+    for one in begun:
+        assert one.go_on('north-b').status == 503
+
+
+def test_restarted_hosts_know_of_a_version_that_has_just_gone(fleet):
+    """Guards against hosts that see one version and take it for the only one.
+
+    All hosts are killed after the last target of the version has gone.
+    """
+    begun = [streams.TakenUp(fleet, 'north-a') for _ in range(4)]
+    begun = [one for one in begun if b'v1.' in one.first_body]
+    wait_until(
+        lambda: any(key.startswith('versions/') for key in fleet.store.items),
+        'the versions are stored',
+    )
+    remove_targets(fleet, 'v1')
+    restart(fleet, *(name for name, _ in HOSTS))
+    assert all(one.go_on('north-b').status == 503 for one in begun)
+
+
+def test_restarted_hosts_resume_streams_of_the_only_version(deployment):
+    """Guards against streams that are lost although one version only serves."""
+    streams.add_targets(deployment, 'v1-north-1', 'v1-north-2')
+    streams.start(deployment, *HOSTS[:2])
+    streams.set_scripts(deployment, pause_seconds=0.03)
+    begun = streams.TakenUp(deployment, 'north-a')
+    restart(deployment, 'north-a', 'north-b')
+    wait_until(
+        lambda: begun.go_on('north-b').status == 200, 'the stream goes on'
+    )
+    assert not any(
+        key.startswith('versions/') for key in deployment.store.items
+    )
+    assert 'stream_taken_up' not in deployment.hosts['north-b'].log()
+
+
+def test_stream_that_began_before_the_second_version_goes_on(deployment):
+    """Guards against streams that no host was told of when it mattered."""
+    streams.add_targets(deployment, 'v1-north-1', 'v1-north-3')
+    streams.start(deployment, *HOSTS[:2])
+    streams.set_scripts(deployment, pause_seconds=0.03)
+    begun = streams.TakenUp(deployment, 'north-a')
+    streams.add_targets(deployment, 'v2-north-2', 'v2-north-4')
+    for name in ('north-a', 'north-b'):
+        deployment.wait_log(name, 'versions=v1,v2')
+    deployment.hosts['north-a'].kill()
+    answer = begun.go_on('north-b')
+    assert answer.status == 200
+    assert streams.versions_of(begun.first_body, answer.body) == {'v1'}
+
+
+def test_frozen_holder_does_not_answer_for_long(fleet):
+    """Guards against a question that waits for a host which stands still."""
+    begun = streams.TakenUp(fleet, 'north-a')
+    fleet.hosts['north-a'].signal(signal.SIGSTOP)
+    answer = begun.go_on('north-b')
+    fleet.hosts['north-a'].signal(signal.SIGCONT)
+    assert answer.status == 200
+    assert len(streams.versions_of(begun.first_body, answer.body)) == 1
