--- a/jacinthfold/streams/exchange.py
+++ b/jacinthfold/streams/exchange.py
@@ -119,7 +119,7 @@
     ) -> str | None:
         while True:
             content = encode(OriginDatagram(queries=[query]))
-            for endpoint in pending.open_endpoints:
+            for endpoint in list(pending.open_endpoints):
                 self.send(content, endpoint)
             done, _ = await asyncio.wait(
                 [pending.result], timeout=QUERY_RESEND_SECONDS
--- a/tests/gateway/test_streams_taken_up.py
+++ b/tests/gateway/test_streams_taken_up.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tests.gateway import target_standin as standin
 from tests.gateway import versioned_streams as streams
 from tests.gateway.deployment import call
 from tools.fleet import wait_until
@@ -170,3 +171,32 @@
     fleet.hosts['north-a'].signal(signal.SIGCONT)
     assert answer.status == 200
     assert len(streams.versions_of(begun.first_body, answer.body)) == 1
+
+
+def test_relayed_stream_goes_on_at_its_version_in_a_third_region(deployment):
+    """Guards against a relay that doesn't tell where the stream began.
+
+    The host's own region has no target. The region that serves the stream loses
+    it, and two regions could go on: the nearer one at another version.
+    """
+    streams.add_targets(deployment, 'v1-south-1')
+    streams.start(deployment, *HOSTS, ('west-a', 'west-1'))
+    streams.add_targets(deployment, 'v2-north-1', 'v1-west-2', 'v2-west-3')
+    for name in ('north-a', 'south-a', 'west-a'):
+        deployment.wait_log(name, 'versions=v1,v2')
+    streams.set_scripts(deployment, cut_at=3)
+    for name in ('v2-north-1', 'v2-west-3'):
+        deployment.targets[name].script = standin.refuse
+    bodies = []
+
+    def is_whole():
+        answer = streams.ask(deployment, 'north-a')
+        bodies.append(answer.body)
+        return answer.is_whole and answer.status == 200
+
+    # The targets that refuse may be chosen first.
+    wait_until(is_whole, 'a relayed stream goes on')
+    for target in deployment.targets.values():
+        target.script = streams.stream(target.instance[:2], cut_at=3)
+    bodies += [streams.ask(deployment, 'north-a').body for _ in range(8)]
+    assert all(len(streams.versions_of(body)) <= 1 for body in bodies)
--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -22,6 +22,7 @@
 from tools.ablations.quarantine import QUARANTINE
 from tools.ablations.restored import RESTORED
 from tools.ablations.serve import SERVE
+from tools.ablations.streams import STREAMS
 from tools.ablations.waiting import WAITING
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -39,6 +40,7 @@
     *PLACES,
     *WAITING,
     *RESTORED,
+    *STREAMS,
 ]
 
 
