Resume a relayed stream past its latency objective until its deadline

What callers saw: a stream that fell silent in the region it had been relayed to after its latency objective was cut, though a third region had an idle target (request_refused reason=late there, 3.65 s after the request, expected 0.07 s).

Cause: a host that resumes a stream counts the time until its deadline; the region that it is relayed to sees a first attempt and counts the time until the latency objective, which has passed. The origin in the relay header tells it now that the stream has begun.

Found by the test of a relayed stream that goes on in a third region, which failed without this (answer not whole) and passes with it. The tests' stand-in can fall silent; hosts that were not told ask others.

--- a/jacinthfold/placement/choice.py
+++ b/jacinthfold/placement/choice.py
@@ -427,7 +427,9 @@
         self, request: Request, *, is_retry: bool
     ) -> float:
         now = self._clock.monotonic()
-        if is_retry:
+        # Of the attempts before a relay, the other region has no record.
+        is_resumed = request.is_relayed and request.origin is not None
+        if is_retry or is_resumed:
             # A stream that breaks after its latency objective has passed is
             # still resumed until its deadline: it has been delivered in part.
             return request.deadline - now
--- a/tests/gateway/test_streams_taken_up.py
+++ b/tests/gateway/test_streams_taken_up.py
@@ -4,9 +4,8 @@
 
 import pytest
 
-from tests.gateway import target_standin as standin
 from tests.gateway import versioned_streams as streams
-from tests.gateway.deployment import call
+from tests.gateway.deployment import Connection, call, new_id
 from tools.fleet import wait_until
 
 HOSTS = (('north-a', 'north-1'), ('north-b', 'north-1'), ('south-a', 'south-1'))
@@ -176,27 +175,38 @@
 def test_relayed_stream_goes_on_at_its_version_in_a_third_region(deployment):
     """Guards against a relay that doesn't tell where the stream began.
 
-    The host's own region has no target. The region that serves the stream loses
-    it, and two regions could go on: the nearer one at another version.
+    The host's own region has no target when the stream begins in another one,
+    which falls silent. Then the host's region gets a target of another version,
+    and a third region one of each.
     """
     streams.add_targets(deployment, 'v1-south-1')
     streams.start(deployment, *HOSTS, ('west-a', 'west-1'))
+    deployment.targets['v1-south-1'].script = streams.stream(
+        'v1', pause_seconds=0.02, silent_after=3
+    )
+    connection = Connection(deployment.hosts['north-a'].callers)
+    connection.send(streams.PATH, 'POST', streams.PROMPT, b'p', new_id())
+    wait_until(
+        lambda: deployment.targets['v1-south-1'].executed, 'the stream begins'
+    )
     streams.add_targets(deployment, 'v2-north-1', 'v1-west-2', 'v2-west-3')
-    for name in ('north-a', 'south-a', 'west-a'):
-        deployment.wait_log(name, 'versions=v1,v2')
-    streams.set_scripts(deployment, cut_at=3)
-    for name in ('v2-north-1', 'v2-west-3'):
-        deployment.targets[name].script = standin.refuse
-    bodies = []
-
-    def is_whole():
-        answer = streams.ask(deployment, 'north-a')
-        bodies.append(answer.body)
-        return answer.is_whole and answer.status == 200
-
-    # The targets that refuse may be chosen first.
-    wait_until(is_whole, 'a relayed stream goes on')
-    for target in deployment.targets.values():
-        target.script = streams.stream(target.instance[:2], cut_at=3)
-    bodies += [streams.ask(deployment, 'north-a').body for _ in range(8)]
-    assert all(len(streams.versions_of(body)) <= 1 for body in bodies)
+    answer = connection.receive()
+    assert answer.is_whole
+    assert streams.versions_of(answer.body) == {'v1'}
+    assert streams.numbers_of(answer.body) == list(range(1, streams.TOTAL + 1))
+    assert len(deployment.targets['v1-west-2'].executed) == 1
+
+
+def test_host_that_was_not_told_asks_others(deployment):
+    """Guards against hosts that go by their own table only."""
+    names = [f'north-{letter}' for letter in 'abcdef']
+    streams.add_targets(deployment, *TARGETS)
+    streams.start(deployment, *((name, 'north-1') for name in names))
+    streams.set_scripts(deployment, pause_seconds=0.03)
+    for name in names[1:]:
+        begun = streams.TakenUp(deployment, 'north-a')
+        answer = begun.go_on(name)
+        assert answer.status == 200
+        assert len(streams.versions_of(begun.first_body, answer.body)) == 1
+    logs = [deployment.hosts[name].log() for name in names]
+    assert any('source=asked' in log for log in logs)
--- a/tests/gateway/versioned_streams.py
+++ b/tests/gateway/versioned_streams.py
@@ -1,5 +1,7 @@
 """Targets of several software versions, and callers that take streams up."""
 
+import asyncio
+
 from tests.gateway import target_standin as standin
 from tests.gateway.deployment import (
     HOST_NAME,
@@ -19,23 +21,26 @@
     return f'id: {number}\ndata: {version}.{number}\n\n'.encode()
 
 
-def stream(version, *, cut_at=None, pause_seconds=0.0, total=TOTAL):
+def stream(version, *, cut_at=None, pause_seconds=0.0, silent_after=TOTAL):
     """Return a script that streams pieces of a version.
 
-    It ends a stream that begins here after cut_at pieces.
+    It ends a stream that begins here after cut_at pieces, or says nothing more
+    after others.
     """
 
     async def script(target, request, writer):
         target.executed.append(request)
         resumed_after = int(request.headers.get('last-event-id') or 0)
         writer.write(standin.stream_head(request))
-        for number in range(resumed_after + 1, total + 1):
+        for number in range(resumed_after + 1, TOTAL + 1):
             if cut_at is not None and not resumed_after and number > cut_at:
                 await writer.drain()
                 return False
             writer.write(standin._chunk(piece(version, number)))
             await writer.drain()
-            await standin.asyncio.sleep(pause_seconds)
+            await asyncio.sleep(pause_seconds)
+            while number == silent_after < TOTAL and not request.is_left:
+                await asyncio.sleep(0.01)
             if request.is_left:
                 return False
         writer.write(b'0\r\n\r\n')
