Make three proofs of streams fail without their safeguards

Of 18 ablations three passed: the version's target was the better choice anyway in two tests, and all of three hosts had been told in the third.

--- a/tests/gateway/test_stream_origin.py
+++ b/tests/gateway/test_stream_origin.py
@@ -15,6 +15,7 @@
     MIN_RETENTION_SECONDS,
     SoftwareVersions,
 )
+from jacinthfold.placement.target import Load
 from jacinthfold.platform.target_records import read_target
 from jacinthfold.proxy import relay_header
 from jacinthfold.proxy.attempts import Attempts
@@ -55,7 +56,7 @@
     """Guards against the less busy target of another version."""
     scene = Scene()
     add_both(scene)
-    scene.targets.find('i-1').own.requests = 20
+    scene.targets.find('i-1').own = Load(2, 12000, 12000)
     choices = [scene.choose(begun(scene)) for _ in range(20)]
     assert target_names(choices) == {'i-1'}
 
@@ -165,6 +166,7 @@
     scene.add('i-2', software_version='v2')
     scene.add('i-2', software_version='v1')
     scene.add('i-2', software_version='v1')
+    scene.targets.find('i-1').own = Load(2, 12000, 12000)
     choices = [scene.choose(begun(scene)) for _ in range(10)]
     assert target_names(choices) == {'i-1'}
 
--- a/tools/ablations/streams.py
+++ b/tools/ablations/streams.py
@@ -126,7 +126,7 @@
                 '        version = None',
             ),
         ],
-        f'{TAKEN_UP}::test_stream_of_a_killed_host_goes_on',
+        f'{TAKEN_UP}::test_host_that_was_not_told_asks_others',
     ),
     Ablation(
         'streams: a stream that is taken up needs its version',
@@ -205,4 +205,15 @@
         ],
         f'{ORIGIN}::test_begun_stream_is_not_relayed_to_the_previous_version',
     ),
+    Ablation(
+        'streams: another region resumes a stream past its latency objective',
+        [
+            (
+                'placement/choice.py',
+                '        if is_retry or is_resumed:',
+                '        if is_retry:',
+            ),
+        ],
+        f'{TAKEN_UP}::test_relayed_stream_goes_on_at_its_version_in_a_third_region',
+    ),
 ]
