Don't trust the only version that a host with old records knows

A host that was frozen or is cut off from the store may have missed a version. It took the one that it knew for the only one and let a stream that another host had begun go on there. With records older than 3 s (the age of knowledge, which also counts time in suspension) it asks hosts with newer ones, and if none answers the stream is rejected as not run. A unit test of two hosts fails without it (ablation). A header Resumes with two different values names no attempt.

Open: within the delay of a change, about a second, a host in touch doesn't know a version whose first stream another host has just begun.

--- a/jacinthfold/gateway/cluster_view.py
+++ b/jacinthfold/gateway/cluster_view.py
@@ -69,6 +69,9 @@
         self.targets.knowledge_age = lambda: (
             self.catalogue.freshness.age_seconds
         )
+        self.targets.versions.knowledge_age = lambda: (
+            self.catalogue.freshness.age_seconds
+        )
         self.follower = Follower(adapter.store, self.catalogue, clock)
         self.registration = Registration(adapter.store, own)
         self.organisations = OrganisationAccess(
--- a/jacinthfold/placement/software_versions.py
+++ b/jacinthfold/placement/software_versions.py
@@ -9,6 +9,8 @@
 MIN_RETENTION_SECONDS = 60.0
 # A caller may take a stream up until the timeout of the attempt that began it.
 RETENTION_TIMEOUTS = 2.0
+# Changes reach every host that is in touch with the store within this time.
+MAX_KNOWLEDGE_AGE_SECONDS = 3.0
 
 
 class SoftwareVersions:
@@ -19,6 +21,7 @@
         '_gone_at',
         '_present',
         '_recorded',
+        'knowledge_age',
         'on_mixed',
         'retention',
     )
@@ -34,6 +37,8 @@
         self._recorded: dict[str, tuple[frozenset[str], float]] = {}
         # Seconds for which a version counts after its last target.
         self.retention = MIN_RETENTION_SECONDS
+        # Returns the maximum age of the records of targets.
+        self.knowledge_age: Callable[[], float] = float
         # Called with a service that has come to have several versions.
         self.on_mixed: Callable[[str], None] = _ignore_service
 
@@ -110,6 +115,14 @@
         versions = self.recent(service)
         return next(iter(versions)) if len(versions) == 1 else None
 
+    def proven_only(self, service: str) -> str | None:
+        """Return the one version of a service if no other can be unknown.
+
+        A host that is cut off, or was frozen, may have missed a version.
+        """
+        is_fresh = self.knowledge_age() < MAX_KNOWLEDGE_AGE_SECONDS
+        return self.only(service) if is_fresh else None
+
     def origin_version(self, service: str, version: str | None) -> str | None:
         """Return the version at which a stream began, None if unknown.
 
--- a/jacinthfold/platform/dialect.py
+++ b/jacinthfold/platform/dialect.py
@@ -91,7 +91,7 @@
             _header_text(headers, PROMPT_PREFIX)
         )
         facts.last_event_id = _header_text(headers, LAST_EVENT_ID)
-        facts.resumed_id = _header_text(headers, RESUMES)
+        facts.resumed_id = _resumed_id(headers)
         return facts
 
     def read_response(self, status: int, headers: Headers) -> ResponseFacts:
@@ -168,6 +168,12 @@
     return [content for found, content in headers if found.lower() == lowered]
 
 
+def _resumed_id(headers: Headers) -> str:
+    """Return the attempt that a caller resumes, '' if it names several."""
+    values = {one.strip() for one in _header_values(headers, RESUMES)}
+    return values.pop().decode('latin-1') if len(values) == 1 else ''
+
+
 def _parse_prefix_segments(content: str) -> tuple[PrefixSegment, ...]:
     segments = []
     for entry in content.split(','):
--- a/jacinthfold/streams/exchange.py
+++ b/jacinthfold/streams/exchange.py
@@ -6,6 +6,7 @@
 
 from jacinthfold.clock import Clock
 from jacinthfold.fleet.table import HostTable
+from jacinthfold.placement.software_versions import SoftwareVersions
 from jacinthfold.streams.holders import Holders
 from jacinthfold.streams.messages import (
     OriginAnswer,
@@ -49,10 +50,15 @@
     """Send and receive notices, queries and answers by datagrams."""
 
     def __init__(
-        self, hosts: HostTable, table: OriginTable, clock: Clock
+        self,
+        hosts: HostTable,
+        table: OriginTable,
+        versions: SoftwareVersions,
+        clock: Clock,
     ) -> None:
         """Use the table that is filled and asked."""
         self._hosts = hosts
+        self._versions = versions
         self._table = table
         self._clock = clock
         self._holders = Holders(hosts)
@@ -102,9 +108,7 @@
             for attempt in notice.attempts[:MAX_NOTICE_ATTEMPTS]:
                 self._table.record(attempt, notice.service, notice.version)
         answers = [
-            OriginAnswer(
-                one.number, self._table.version(one.attempt, one.service)
-            )
+            OriginAnswer(one.number, self._version(one))
             for one in datagram.queries
         ]
         if answers:
@@ -127,6 +131,10 @@
             if done:
                 return pending.result.result()
 
+    def _version(self, query: OriginQuery) -> str | None:
+        found = self._table.version(query.attempt, query.service)
+        return found or self._versions.proven_only(query.service)
+
     def _refresh(self) -> None:
         now = self._clock.monotonic()
         if now - self._refreshed_at > REFRESH_SECONDS:
--- a/jacinthfold/streams/origins.py
+++ b/jacinthfold/streams/origins.py
@@ -33,7 +33,7 @@
         """Use the versions of each service and the hosts to tell and ask."""
         self._versions = versions
         self.table = OriginTable(clock, lambda: versions.retention)
-        self.exchange = OriginExchange(hosts, self.table, clock)
+        self.exchange = OriginExchange(hosts, self.table, versions, clock)
         self.version_writer = VersionWriter(store, versions)
         versions.on_mixed = self._tell_recent
 
@@ -89,7 +89,7 @@
         self, service: str, attempt_id: str
     ) -> tuple[str | None, str]:
         """Return the version that began a stream, and who told it."""
-        only = self._versions.only(service)
+        only = self._versions.proven_only(service)
         if only is not None:
             return only, 'only'
         attempt = attempt_key(attempt_id)
--- a/tests/gateway/test_stream_origin.py
+++ b/tests/gateway/test_stream_origin.py
@@ -15,7 +15,7 @@
     MIN_RETENTION_SECONDS,
     SoftwareVersions,
 )
-from jacinthfold.placement.target import Load
+from jacinthfold.platform.dialect import PlatformDialect
 from jacinthfold.platform.target_records import read_target
 from jacinthfold.proxy import relay_header
 from jacinthfold.proxy.attempts import Attempts
@@ -29,6 +29,7 @@
 from jacinthfold.streams import messages, table
 from jacinthfold.streams.exchange import OriginExchange
 from jacinthfold.streams.holders import HOLDERS, LARGE_FLEET_HOLDERS, Holders
+from jacinthfold.streams.origins import StreamOrigins
 from tests.fakes import FakeClock
 from tests.gateway.test_placement import Scene, prompt
 
@@ -53,12 +54,15 @@
 
 
 def test_choice_stays_with_the_version():
-    """Guards against the less busy target of another version."""
+    """Guards against the better target, if it is of another version."""
     scene = Scene()
-    add_both(scene)
-    scene.targets.find('i-1').own = Load(2, 12000, 12000)
-    choices = [scene.choose(begun(scene)) for _ in range(20)]
-    assert target_names(choices) == {'i-1'}
+    for name in ('i-1', 'i-2'):
+        scene.add(name, software_version='v1')
+    (preferred,) = target_names([scene.choose(begun(scene))])
+    scene.add(preferred, software_version='v2')
+    scene.targets.find(preferred).record.software_version = 'v2'
+    choices = [scene.choose(begun(scene)) for _ in range(10)]
+    assert target_names(choices) == {'i-1', 'i-2'} - {preferred}
 
 
 def test_trial_stays_with_the_version():
@@ -162,13 +166,14 @@
 def test_target_that_tells_two_versions_is_of_none():
     """Guards against an incarnation whose records contradict each other."""
     scene = Scene()
-    scene.add('i-1', software_version='v1')
-    scene.add('i-2', software_version='v2')
-    scene.add('i-2', software_version='v1')
-    scene.add('i-2', software_version='v1')
-    scene.targets.find('i-1').own = Load(2, 12000, 12000)
+    for name in ('i-1', 'i-2'):
+        scene.add(name, software_version='v1')
+    (preferred,) = target_names([scene.choose(begun(scene))])
+    scene.add(preferred, software_version='v2')
+    scene.add(preferred, software_version='v1')
+    scene.add(preferred, software_version='v1')
     choices = [scene.choose(begun(scene)) for _ in range(10)]
-    assert target_names(choices) == {'i-1'}
+    assert target_names(choices) == {'i-1', 'i-2'} - {preferred}
 
 
 @pytest.mark.parametrize('version', [None, '', 'V1', 'v1 ', 'é\n', 'x' * 5000])
@@ -337,6 +342,7 @@
     exchange = OriginExchange(
         HostTable(host('a'), FakeClock()),
         table.OriginTable(FakeClock(), lambda: 60.0),
+        SoftwareVersions(FakeClock()),
         FakeClock(),
     )
     with pytest.raises(ValueError):
@@ -350,6 +356,7 @@
     exchange = OriginExchange(
         hosts_of(host('a'), [host('b')], clock),
         table.OriginTable(clock, lambda: 60.0),
+        SoftwareVersions(clock),
         clock,
     )
 
@@ -363,5 +370,59 @@
     assert asyncio.run(exchange.ask('model', 7)) == version
 
 
+def taken_up(scene, resumes='first'):
+    """Return a prompt of a stream that its caller takes up."""
+    request = prompt(scene, 'subject')
+    request.route.retry_policy = RetryPolicy.RESUMED
+    request.facts.last_event_id = '3'
+    request.facts.resumed_id = resumes
+    return request
+
+
+@pytest.mark.parametrize(
+    ('own_age', 'other_age', 'version'),
+    [(0.5, 0.5, 'v1'), (9.0, 0.5, 'v2'), (9.0, 9.0, None)],
+)
+def test_host_with_old_records_does_not_trust_the_only_version(
+    own_age, other_age, version
+):
+    """Guards against a cut-off or frozen host that has missed a release.
+
+    The other host knows another version only, from newer records.
+    """
+    scene, other = Scene(), Scene()
+    scene.add('i-1', software_version='v1')
+    other.add('i-2', software_version='v2')
+    scene.targets.versions.knowledge_age = lambda: own_age
+    other.targets.versions.knowledge_age = lambda: other_age
+    a, b = host('a'), host('b')
+    asker = StreamOrigins(
+        hosts_of(a, [b], scene.clock), scene.targets.versions, None, scene.clock
+    )
+    asked = StreamOrigins(
+        hosts_of(b, [a], scene.clock), other.targets.versions, None, scene.clock
+    )
+    asker.exchange.send = lambda content, _: asked.exchange.handle_datagram(
+        content, ('ip-a', 2)
+    )
+    asked.exchange.send = lambda content, _: asker.exchange.handle_datagram(
+        content, ('ip-b', 2)
+    )
+    request = taken_up(scene)
+    asyncio.run(asker.resolve(request))
+    assert request.origin.software_version == version
+
+
+@pytest.mark.parametrize(
+    ('values', 'resumed_id'),
+    [([], ''), (['a'], 'a'), (['a', 'a'], 'a'), (['a', 'b'], ''), ([''], '')],
+)
+def test_header_that_names_two_attempts_names_none(values, resumed_id):
+    """Guards against a guess which of two attempts began the stream."""
+    headers = [(b'Resumes', one.encode()) for one in values]
+    facts = PlatformDialect().read_request(headers)
+    assert facts.resumed_id == resumed_id
+
+
 def _json(text):
     return '"' + ''.join(f'\\u{ord(one):04x}' for one in text) + '"'
--- a/tests/gateway/test_streams_taken_up.py
+++ b/tests/gateway/test_streams_taken_up.py
@@ -179,8 +179,12 @@
     which falls silent. Then the host's region gets a target of another version,
     and a third region one of each.
     """
-    streams.add_targets(deployment, 'v1-south-1')
+    streams.add_targets(deployment, 'v1-south-1', 'v2-west-9')
     streams.start(deployment, *HOSTS, ('west-a', 'west-1'))
+    # Both versions count for longer than their targets.
+    remove_targets(deployment, 'v2')
+    for name, _ in HOSTS:
+        deployment.wait_log(name, 'event=target_gone')
     deployment.targets['v1-south-1'].script = streams.stream(
         'v1', pause_seconds=0.02, silent_after=3
     )
--- a/tools/ablations/streams.py
+++ b/tools/ablations/streams.py
@@ -13,7 +13,7 @@
             (
                 'placement/usable.py',
                 '            if origin.admits(target.record.software_version)',
-                '            if True',
+                '            if origin',
             ),
         ],
         f'{ORIGIN}::test_choice_stays_with_the_version',
@@ -216,4 +216,15 @@
         ],
         f'{TAKEN_UP}::test_relayed_stream_goes_on_at_its_version_in_a_third_region',
     ),
+    Ablation(
+        'streams: old records prove no only version',
+        [
+            (
+                'placement/software_versions.py',
+                '        return self.only(service) if is_fresh else None',
+                '        return self.only(service)',
+            ),
+        ],
+        f'{ORIGIN}::test_host_with_old_records_does_not_trust_the_only_version',
+    ),
 ]
