Soak streams of several versions under random faults

Engines of three versions come and go, hosts are killed, frozen, cut off and restarted, and callers leave or lose their streams and take them up at other hosts, naming the attempt that brought the first event.

--- a/tests/gateway/test_soak.py
+++ b/tests/gateway/test_soak.py
@@ -7,6 +7,7 @@
 from tests.gateway.soak_organisations import OrganisationsSoak
 from tests.gateway.soak_pushback import PushbackSoak
 from tests.gateway.soak_restored import RestoredSoak
+from tests.gateway.soak_versions import VersionsSoak
 
 SECONDS = 8
 # Long enough for the store to be away for longer than keys may outlive it.
@@ -87,3 +88,16 @@
     assert problems == []
     assert faults['limit']
     assert seen
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+def test_streams_keep_to_their_version_under_random_faults(seed):
+    """Engines of three versions come and go, and callers take streams up.
+
+    Hosts are killed, frozen, cut off and restarted meanwhile. No stream has
+    pieces of two versions, or a piece missing or twice.
+    """
+    problems, faults, seen = run_seed(seed, SECONDS, VersionsSoak)
+    assert problems == []
+    assert faults['taken_up']
+    assert seen
