End the listeners before the event loop closes

Cause: when the host has drained, its listeners still accept. asyncio.run cancels the tasks that exist then; a connection that is accepted while they end gets a task that nobody cancels, and the loop closes under it. A test that connects from a task being cancelled brings it about each time: the same two messages, and one task left on the code before, none on this one.

Now all listeners end before the host returns to asyncio.run, and a connection that was accepted already is closed without a task. Nothing was in flight on it.

--- a/jacinthfold/gateway/node.py
+++ b/jacinthfold/gateway/node.py
@@ -245,6 +245,8 @@
         self._start_task(view.registration.leave())
         self._start_task(view.organisations.quota.issuers.leave())
         await self._wait_until_drained(grace)
+        for listener in self._listeners:
+            listener.end()
         logs.event('host_stopped', cut_off=self._in_flight_count())
 
     async def _wait_until_drained(self, grace_seconds: float) -> None:
--- a/jacinthfold/proxy/listener.py
+++ b/jacinthfold/proxy/listener.py
@@ -52,6 +52,7 @@
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._idle: set[Channel] = set()
+        self._has_ended = False
         self.active_request_count = 0
         # Set when this host shuts down: responses then close their connections.
         self.is_leaving = False
@@ -68,6 +69,11 @@
         if self._server is not None:
             self._server.close()
 
+    def end(self) -> None:
+        """Accept nothing more, as the event loop is about to close."""
+        self._has_ended = True
+        self.stop_accepting()
+
     def close_idle(self) -> None:
         """Close the connections on which no request has begun."""
         for channel in list(self._idle):
@@ -107,6 +113,10 @@
         return channel
 
     def _serve(self, channel: Channel) -> None:
+        if self._has_ended:
+            # A task that begins while the others are cancelled never ends.
+            channel.abort()
+            return
         connection = _Connection(self, channel)
         task = asyncio.get_running_loop().create_task(connection.run())
         self._tasks.add(task)
--- a/tools/ablations/gateway.py
+++ b/tools/ablations/gateway.py
@@ -233,4 +233,16 @@
         ],
         GATEWAY + 'test_streams.py',
     ),
+    Ablation(
+        'gateway: listeners end before the event loop',
+        [
+            (
+                'proxy/listener.py',
+                """        self._has_ended = True
+        self.stop_accepting()""",
+                '        self._has_ended = False',
+            ),
+        ],
+        GATEWAY + 'test_listener_end.py',
+    ),
 ]
