Record where a stream begins once per attempt, not per event

Each chunk of events hashed the attempt and looked it up, also with one version in the service. Versions that went long ago are dropped from memory.

--- a/jacinthfold/placement/software_versions.py
+++ b/jacinthfold/placement/software_versions.py
@@ -60,9 +60,12 @@
         for service in changed:
             before = self._present.get(service, frozenset())
             gone = before - present.get(service, frozenset())
-            self._gone_at.setdefault(service, {}).update(
-                dict.fromkeys(gone, now)
-            )
+            limit = now - self.retention
+            kept = self._gone_at.get(service, {})
+            self._gone_at[service] = {
+                **{name: at for name, at in kept.items() if at > limit},
+                **dict.fromkeys(gone, now),
+            }
         was_mixed = {one for one in changed if self.is_mixed(one)}
         self._present = dict(present)
         for service in changed:
--- a/jacinthfold/proxy/delivery.py
+++ b/jacinthfold/proxy/delivery.py
@@ -134,8 +134,8 @@
     async def _forward_events(self, events: bytes, head: ResponseHead) -> None:
         if not events:
             return
-        self.on_begin()
         if not self.first_event_at:
+            self.on_begin()
             self.first_event_at = self._clock.monotonic()
             self._record_first_event()
             if self.on_first_event is not None:
--- a/jacinthfold/streams/holders.py
+++ b/jacinthfold/streams/holders.py
@@ -3,10 +3,9 @@
 from jacinthfold.fleet.table import HostState, HostTable
 from jacinthfold.hashing import rank
 
-# Hosts beside the one that serves a stream that are told where it began: with
-# half of the hosts killed at once, one of them is left for 9 of 10 streams.
+# Hosts beside the one that serves a stream that are told where it began.
 HOLDERS = 3
-# In large fleets, where fewer of all hosts go at once.
+# In large fleets a smaller share of the hosts goes at once.
 LARGE_FLEET_HOLDERS = 2
 LARGE_FLEET_HOSTS = 64
 # Of them, those in the region of the host that serves the stream; a region may
