--- a/tests/gateway/test_streams_taken_up.py
+++ b/tests/gateway/test_streams_taken_up.py
@@ -214,3 +214,28 @@
         assert len(streams.versions_of(begun.first_body, answer.body)) == 1
     logs = [deployment.hosts[name].log() for name in names]
     assert any('source=asked' in log for log in logs)
+
+
+def test_streams_go_on_after_half_of_the_hosts_were_killed(deployment):
+    """Guards against knowledge that is lost with a herd of hosts.
+
+    At least half of the streams of the killed hosts go on at the others.
+    """
+    north = [(f'north-{letter}', 'north-1') for letter in 'abc']
+    south = [(f'south-{letter}', 'south-1') for letter in 'abc']
+    streams.add_targets(deployment, *TARGETS, 'v1-south-1', 'v2-south-2')
+    streams.start(deployment, *north, *south)
+    streams.set_scripts(deployment, pause_seconds=0.03)
+    killed = ('north-a', 'north-b', 'south-a')
+    begun = [
+        streams.TakenUp(deployment, killed[number % 3]) for number in range(24)
+    ]
+    for name in killed:
+        deployment.hosts[name].kill()
+    left = ('north-c', 'south-b', 'south-c')
+    went_on = 0
+    for number, one in enumerate(begun):
+        answer = one.go_on(left[number % 3])
+        assert len(streams.versions_of(one.first_body, answer.body)) == 1
+        went_on += answer.status == 200 and answer.is_whole
+    assert went_on >= len(begun) / 2
