--- a/jacinthfold/platform/target_records.py
+++ b/jacinthfold/platform/target_records.py
@@ -31,14 +31,14 @@
     address: str
     # The data centre.
     zone: str
+    # The version of the target's program, not of this record.
+    version: str
     slots: int
     state: _State
     # Number of this record among those of the same incarnation.
     seq: int
     warmup_left_ms: float
     remaining_ms: float | None = None
-    # The version of the target's program, not of this record.
-    version: str = ''
     # Start of the incarnation in Unix milliseconds by the target's clock. Older
     # targets omit it.
     born: int | msgspec.UnsetType = msgspec.UNSET
