Log what marked the end of an answer and what was left of its last event

The recorded lines of answers that were complete by their framing and had a short body can't tell an orderly close from a lost reset, nor whether the end came inside an event. A request's last line now has body_end, orderly_end and partial_event_bytes; a counter has answers by what marked their end. No decision depends on them yet.

--- a/jacinthfold/proxy/attempts.py
+++ b/jacinthfold/proxy/attempts.py
@@ -156,7 +156,7 @@
             seconds = delivery.first_event_at - began_at
             self.on_first_event(request, estimate, seconds)
         self._update_target(target, outcome, delivery, began_at, estimate)
-        self._count(request, outcome)
+        self._count(request, outcome, progress)
         return outcome
 
     async def relay_to_region(
@@ -202,7 +202,7 @@
         outcome = await self._connect_and_send(
             endpoint, REGION_CONNECT_TIMEOUT_SECONDS, request, headers, delivery
         )
-        self._count(request, outcome)
+        self._count(request, outcome, progress)
         return outcome
 
     def _rejection_reason(self, request: Request, estimate: Estimate) -> str:
@@ -297,6 +297,7 @@
         except TimeoutError:
             return delivery.broken_outcome(ProxyError('silent'))
         finally:
+            delivery.record_end()
             self._release(endpoint, exchange)
 
     async def _send_and_deliver(
@@ -337,9 +338,14 @@
         else:
             exchange.channel.abort()
 
-    def _count(self, request: Request, outcome: Outcome) -> None:
+    def _count(
+        self, request: Request, outcome: Outcome, progress: Progress
+    ) -> None:
         service, ending = request.service_name, outcome.ending.value
         self._metrics.attempts.labels(service, ending).inc()
+        body_end = progress.answer_end.body_end
+        if body_end is not None:
+            self._metrics.answers.labels(service, body_end.value, ending).inc()
 
     def _update_target(
         self,
@@ -351,7 +357,9 @@
     ) -> None:
         now = self._clock.monotonic()
         if in_flight_load.learn_places(estimate, outcome, now):
-            self._metrics.full_answers.labels(target.record.service).inc()
+            self._metrics.places.full_answers.labels(
+                target.record.service
+            ).inc()
         if outcome.ending is Ending.DELIVERED:
             first_at = delivery.first_event_at or now
             seconds = first_at - began_at
--- a/jacinthfold/proxy/delivery.py
+++ b/jacinthfold/proxy/delivery.py
@@ -9,7 +9,7 @@
 from jacinthfold.proxy.caller_response import CallerResponse
 from jacinthfold.proxy.events import EventSplitter
 from jacinthfold.proxy.outcome import Ending, Outcome
-from jacinthfold.proxy.progress import Progress
+from jacinthfold.proxy.progress import AnswerEnd, Progress
 from jacinthfold.proxy.response_timeout import ResponseTimeout
 from jacinthfold.request.messages import Request, ResponseHead
 from jacinthfold.transport.channel import Channel
@@ -68,6 +68,14 @@
     def mark_in_flight(self) -> None:
         """Record that the request's first byte is about to be sent."""
         self._progress.is_in_flight = True
+        self._progress.answer_end = AnswerEnd()
+
+    def record_end(self) -> None:
+        """Record how the connection ended, after the attempt."""
+        channel = self.channel
+        self._progress.answer_end.is_orderly = (
+            channel is not None and channel.has_orderly_end
+        )
 
     def withdraw(self) -> None:
         """Abort the connection to cancel the request at its target."""
@@ -81,6 +89,7 @@
             exchange.read_head(), self._timeout.soft_timeout_seconds
         )
         self.on_activity()
+        self._progress.answer_end.body_end = head.body_end
         self.on_head(head)
         if self.is_peer:
             self.peer_version = relay_header.take_version(head)
@@ -125,6 +134,7 @@
                 break
             await self._forward_events(splitter.feed(chunk), head)
             self._progress.last_event_id = splitter.last_event_id
+        self._progress.answer_end.partial_event_bytes = len(splitter.incomplete)
         await self._forward_events(splitter.incomplete, head)
         if not self._response.has_started:
             await self._start_response(head)
--- a/jacinthfold/proxy/forwarding.py
+++ b/jacinthfold/proxy/forwarding.py
@@ -105,7 +105,7 @@
         if isinstance(choice, Reject):
             self._rejection_lines.log(request, choice)
             if choice.reason == 'no_place':
-                self._metrics.no_place.labels(request.service_name).inc()
+                self._metrics.places.no_place.labels(request.service_name).inc()
             if choice.is_permanent:
                 resumed_by = _resumed_by(request, response)
                 self._count_resumed(request, resumed_by, choice.reason)
@@ -273,6 +273,7 @@
             'sends': progress.sends,
             'seconds': elapsed,
         }
+        fields |= progress.answer_end.log_fields()
         if progress.first_event_seconds is not None:
             fields['first_seconds'] = progress.first_event_seconds
         if response.is_finished and response.status < HTTPStatus.BAD_REQUEST:
--- a/jacinthfold/proxy/metrics.py
+++ b/jacinthfold/proxy/metrics.py
@@ -62,6 +62,25 @@
         )
 
 
+class PlaceMetrics:
+    """Hold the counters of requests that found targets full."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        """Register the counters."""
+        self.full_answers = Counter(
+            'jacinthfold_gateway_target_full_total',
+            'Answers of targets that say that they are full, by service',
+            ('service',),
+            registry=registry,
+        )
+        self.no_place = Counter(
+            'jacinthfold_gateway_requests_without_place_total',
+            'Requests rejected since this host had no free place at a target',
+            ('service',),
+            registry=registry,
+        )
+
+
 class ProxyMetrics:
     """Hold the metrics in their own registry."""
 
@@ -106,18 +125,13 @@
             ['service', 'by', 'ending'],
             registry=self.registry,
         )
-        self.full_answers = Counter(
-            'jacinthfold_gateway_target_full_total',
-            'Answers of targets that say that they are full, by service',
-            ('service',),
-            registry=self.registry,
-        )
-        self.no_place = Counter(
-            'jacinthfold_gateway_requests_without_place_total',
-            'Requests rejected since this host had no free place at a target',
-            ('service',),
+        self.answers = Counter(
+            'jacinthfold_gateway_answers_total',
+            'Responses of targets and regions by what marked their end',
+            ['service', 'body_end', 'ending'],
             registry=self.registry,
         )
+        self.places = PlaceMetrics(self.registry)
         self.quarantined = Counter(
             'jacinthfold_gateway_requests_quarantined_total',
             'Requests refused because targets ended under them',
--- a/jacinthfold/proxy/progress.py
+++ b/jacinthfold/proxy/progress.py
@@ -6,18 +6,43 @@
 from jacinthfold.placement.decision import Choice, Reject, RelayTo, SendTo
 from jacinthfold.proxy.outcome import Ending, Outcome
 from jacinthfold.quota.permits import Permit
-from jacinthfold.request.messages import Request
+from jacinthfold.request.messages import BodyEnd, Request
 
 DEFAULT_RETRY_AFTER_SECONDS = 0.5
 # The reason of a rejection because targets crashed under the request.
 QUARANTINED = 'quarantined'
 
 
+class AnswerEnd:
+    """Describe the end of the last response, for logs and metrics."""
+
+    __slots__ = ('body_end', 'is_orderly', 'partial_event_bytes')
+
+    def __init__(self) -> None:
+        """Start before the head of a response."""
+        self.body_end: BodyEnd | None = None
+        # Whether its connection ended without a reset.
+        self.is_orderly = False
+        # Bytes after its last complete event.
+        self.partial_event_bytes = 0
+
+    def log_fields(self) -> dict[str, object]:
+        """Return the fields for the log, none before the head."""
+        if self.body_end is None:
+            return {}
+        return {
+            'body_end': self.body_end.value,
+            'orderly_end': self.is_orderly,
+            'partial_event_bytes': self.partial_event_bytes,
+        }
+
+
 class Progress:
     """Track a request across its attempts."""
 
     __slots__ = (
         'after_seconds',
+        'answer_end',
         'rejection_reason',
         'ending',
         'failed_outcome',
@@ -62,6 +87,7 @@
         self.refusal_status = HTTPStatus.SERVICE_UNAVAILABLE
         # Returns why the request may not be sent now, or ''.
         self.rejection_reason: Callable[[], str] = _no_reason
+        self.answer_end = AnswerEnd()
         # Allows one run; None when none is needed or it was used.
         self.permit: Permit | None = None
 
--- a/jacinthfold/request/messages.py
+++ b/jacinthfold/request/messages.py
@@ -1,5 +1,8 @@
 """Model requests and responses while the gateway handles them."""
 
+from enum import Enum
+from http import HTTPStatus
+
 from jacinthfold.catalogue.model import RetryPolicy, Route
 from jacinthfold.organisations.model import Organisation
 from jacinthfold.request.stream_origin import StreamOrigin
@@ -256,10 +259,18 @@
         self.cold_seconds: float | None = None
 
 
+class BodyEnd(Enum):
+    """Name what marks the end of a response body (RFC 9112, section 6.3)."""
+
+    LENGTH = 'length'
+    CHUNKS = 'chunks'
+    CONNECTION = 'connection'
+
+
 class ResponseHead:
     """Hold the status and headers of a response."""
 
-    __slots__ = ('facts', 'headers', 'content_length', 'status')
+    __slots__ = ('body_end', 'facts', 'headers', 'content_length', 'status')
 
     def __init__(
         self, status: int, headers: Headers, facts: ResponseFacts
@@ -269,12 +280,25 @@
         self.headers = headers
         self.facts = facts
         self.content_length: int | None = None
+        self.body_end = BodyEnd.LENGTH
 
     def end_to_end_headers(self) -> Headers:
         """Return the headers to forward (RFC 9110, section 7.6.1)."""
         return without_framing(self.headers)
 
 
+def body_end_of(method: bytes, status: int, headers: Headers) -> BodyEnd:
+    """Return what marks the end of a response's body."""
+    has_no_body = status in {HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED}
+    if method == b'HEAD' or has_no_body:
+        return BodyEnd.LENGTH
+    if first_header(headers, b'transfer-encoding'):
+        return BodyEnd.CHUNKS
+    if first_header(headers, b'content-length'):
+        return BodyEnd.LENGTH
+    return BodyEnd.CONNECTION
+
+
 def without_framing(headers: Headers) -> Headers:
     """Return the headers that concern neither the connection nor framing."""
     named = {
--- a/jacinthfold/transport/channel.py
+++ b/jacinthfold/transport/channel.py
@@ -29,6 +29,7 @@
         self._wake_writer: asyncio.Future[None] | None = None
         self._is_paused = False
         self._is_peer_closed = False
+        self._has_eof = False
         self.lost_error: Exception | None = None
         self.on_peer_closed: Callable[[], object] | None = None
         self.on_data: Callable[[], object] | None = None
@@ -39,6 +40,11 @@
         """Check whether the peer has closed or reset the connection."""
         return self._is_peer_closed
 
+    @property
+    def has_orderly_end(self) -> bool:
+        """Check whether the peer has ended its output without a reset."""
+        return self._has_eof
+
     @property
     def has_unread_bytes(self) -> bool:
         """Check whether received bytes wait to be read."""
@@ -101,6 +107,7 @@
 
     def eof_received(self) -> bool:
         """Record the end of the input; keep the connection open for writes."""
+        self._has_eof = True
         self._mark_peer_closed()
         return True
 
--- a/jacinthfold/transport/exchange.py
+++ b/jacinthfold/transport/exchange.py
@@ -3,7 +3,12 @@
 import h11
 
 from jacinthfold import logs
-from jacinthfold.request.messages import Headers, ResponseHead, first_header
+from jacinthfold.request.messages import (
+    Headers,
+    ResponseHead,
+    body_end_of,
+    first_header,
+)
 from jacinthfold.request.numbers import excerpt
 from jacinthfold.transport.channel import Channel
 from jacinthfold.transport.dialect import Dialect
@@ -128,6 +133,9 @@
         facts = self._dialect.read_response(event.status_code, headers)
         response = ResponseHead(event.status_code, headers, facts)
         response.content_length = _content_length(headers)
+        response.body_end = body_end_of(
+            self._method, event.status_code, headers
+        )
         return response
 
     async def _next_event(self) -> object:
