Take a stream that ends inside an event for broken off

Cause: a body with neither length nor chunks ends, for the parser, with the input, and Delivery forwarded what was left of the last event and finished the caller's answer. Class: truncation of a close-delimited body (RFC 9112, 6.3 and 8).

Ruled out: an end after a noticed cut (no attempt failed before the lines); a reset by the target (the same test with a reset passed before).

A stream whose input ends inside an event is now an attempt that broke: what may go on goes on after the last whole event, other callers see the connection end, and the target is looked at as after a reset. The parts of an answer that are no event (blank lines, comments) don't count. Lines may end with a CR alone, which held whole events back before.

--- a/jacinthfold/proxy/delivery.py
+++ b/jacinthfold/proxy/delivery.py
@@ -11,13 +11,14 @@
 from jacinthfold.proxy.outcome import Ending, Outcome
 from jacinthfold.proxy.progress import AnswerEnd, Progress
 from jacinthfold.proxy.response_timeout import ResponseTimeout
-from jacinthfold.request.messages import Request, ResponseHead
+from jacinthfold.request.messages import Request, ResponseHead, first_header
 from jacinthfold.transport.channel import Channel
-from jacinthfold.transport.errors import ProxyError
+from jacinthfold.transport.errors import ConnectionLostError, ProxyError
 from jacinthfold.transport.exchange import Exchange
 
 # Responses other than streams are buffered until they are complete.
 MAX_BUFFERED_BODY_BYTES = 16777216
+EVENT_STREAM_TYPE = b'text/event-stream'
 # A resumable stream moves to another target after a pause of this many times
 # the longest one that callers accept.
 GAP_TIMEOUT_FACTOR = 3.0
@@ -135,6 +136,8 @@
             await self._forward_events(splitter.feed(chunk), head)
             self._progress.last_event_id = splitter.last_event_id
         self._progress.answer_end.partial_event_bytes = len(splitter.incomplete)
+        if splitter.is_inside_event and _has_events(head):
+            raise ConnectionLostError('the stream ended inside an event')
         await self._forward_events(splitter.incomplete, head)
         if not self._response.has_started:
             await self._start_response(head)
@@ -180,6 +183,11 @@
         return self._progress.runs + 1 < route.max_attempts
 
 
+def _has_events(head: ResponseHead) -> bool:
+    content_type = first_header(head.headers, b'content-type')
+    return not content_type or content_type.startswith(EVENT_STREAM_TYPE)
+
+
 def _ignore_activity() -> None:
     """Do nothing when bytes arrive."""
 
--- a/jacinthfold/proxy/events.py
+++ b/jacinthfold/proxy/events.py
@@ -1,7 +1,9 @@
 """Split a stream of server-sent events to forward only complete ones."""
 
-_BLANK_LINES = (b'\n\n', b'\r\n\r\n')
+# A line ends with LF, CRLF or CR; the second one also ends CRLF CRLF.
+_BLANK_LINES = (b'\n\n', b'\n\r\n', b'\r\r')
 _ID_FIELD = b'id:'
+_COMMENT = b':'
 
 
 class EventSplitter:
@@ -18,6 +20,14 @@
         """Return the bytes of the last, incomplete event."""
         return self._incomplete
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Check whether an event has begun that isn't complete."""
+        return any(
+            line and not line.startswith(_COMMENT)
+            for line in self._incomplete.splitlines()
+        )
+
     def feed(self, content: bytes) -> bytes:
         """Return the events that these bytes complete."""
         self._incomplete += content
--- a/tests/gateway/test_answers_without_length.py
+++ b/tests/gateway/test_answers_without_length.py
@@ -2,7 +2,9 @@
 
 import pytest
 
+from jacinthfold.proxy.events import EventSplitter
 from tests.gateway import broken_answers as answers
+from tests.gateway import target_standin as standin
 from tests.gateway.broken_answers import ask, events, set_scripts
 from tests.gateway.deployment import route, wait_served
 
@@ -37,3 +39,62 @@
     answer = ask(engines, '/chat/1')
     assert not answer.is_whole
     assert answer.body == events(1, 3)
+
+
+@pytest.mark.parametrize(
+    'tail', [HALF, b'id: 4\r\ndata: x\r\n', b'i', b'data: \xc3']
+)
+def test_stream_broken_at_any_byte_of_an_event_is_seen_as_broken(engines, tail):
+    """Guards against events of which only some lines or bytes arrive."""
+    set_scripts(engines, answers.unmarked(3, tail))
+    answer = ask(engines, '/chat/1')
+    assert not answer.is_whole
+    assert answer.body == events(1, 3)
+
+
+@pytest.mark.parametrize('resets', [False, True])
+def test_resumable_stream_goes_on_after_an_end_inside_an_event(engines, resets):
+    """Guards against a stream that is given up though it may go on."""
+    broken = answers.unmarked(3, HALF, resets=resets)
+    script = answers.once(broken, standin.stream(5))
+    set_scripts(engines, script)
+    answer = ask(engines, '/review/1')
+    assert answer.body == events(1, 5)
+
+
+def test_stream_broken_before_its_first_event_is_tried_again(engines):
+    """Guards against an empty answer where another target would serve."""
+    script = answers.once(answers.unmarked(0, b'id: 1'), standin.stream(5))
+    set_scripts(engines, script)
+    assert ask(engines, '/review/1').body == events(1, 5)
+
+
+def test_stream_that_may_run_once_fails_before_its_first_event(engines):
+    """Guards against a second run, and against "not run" after the first."""
+    set_scripts(engines, answers.unmarked(0, b'id: 1'))
+    assert ask(engines, '/chat/1').status == 502
+    assert sum(len(one.executed) for one in engines.targets.values()) == 1
+
+
+def test_end_inside_an_event_counts_against_the_target(engines):
+    """Guards against a target that breaks streams off and stays in use."""
+    set_scripts(engines, answers.unmarked(3, HALF))
+    ask(engines, '/chat/1')
+    engines.wait_log('north-a', 'ending=cut')
+    assert 'ended inside an event' in engines.hosts['north-a'].log()
+
+
+@pytest.mark.parametrize('line_end', [b'\n', b'\r\n', b'\r'])
+def test_splitter_finds_events_of_each_line_end(line_end):
+    """Guards against whole streams that are held for broken ones."""
+    whole = line_end.join((b'id: 1', b'data: a', b'', b''))
+    splitter = EventSplitter()
+    assert splitter.feed(whole) == whole
+    assert not splitter.is_inside_event
+
+
+def test_comments_and_blank_lines_are_no_part_of_an_event():
+    """Guards against keep-alive lines that make a whole stream look broken."""
+    splitter = EventSplitter()
+    splitter.feed(b'data: a\n\n\n: keep-alive')
+    assert not splitter.is_inside_event
