Don't take a connection that this host ends for the end of an answer

The other way round, a reset that came after an orderly end made a whole answer look broken.

Only an orderly end by the peer is the end of the input now. Both tests failed before.

--- a/jacinthfold/transport/channel.py
+++ b/jacinthfold/transport/channel.py
@@ -53,10 +53,14 @@
     async def read(self) -> bytes:
         """Return the next bytes, b'' at the end; raise ConnectionLostError."""
         while not self._received:
+            # An orderly end comes after all bytes of the peer, whatever happens
+            # to the connection later.
+            if self._has_eof:
+                return b''
             if self.lost_error is not None:
                 raise ConnectionLostError(str(self.lost_error))
             if self._is_peer_closed:
-                return b''
+                raise ConnectionLostError('closed by this host')
             self._wake_reader = asyncio.get_running_loop().create_future()
             await self._wake_reader
         content = bytes(self._received)
--- a/tests/gateway/broken_answers.py
+++ b/tests/gateway/broken_answers.py
@@ -41,14 +41,14 @@
     return script
 
 
-def unmarked_body(body, *, resets=False):
+def unmarked_body(body, *, resets=False, pause_seconds=0.05):
     """Return a script that answers a call and ends its connection."""
 
     async def script(target, request, writer):
         target.executed.append(request)
         writer.write(head(request, 'text/plain') + body)
         await writer.drain()
-        await asyncio.sleep(0.05)
+        await asyncio.sleep(pause_seconds)
         return await end(writer, resets=resets)
 
     return script
--- a/tests/gateway/test_answers_without_length.py
+++ b/tests/gateway/test_answers_without_length.py
@@ -1,8 +1,14 @@
 """Answers with neither length nor chunks, which end with their connection."""
 
+import asyncio
+
 import pytest
 
+from jacinthfold.platform.dialect import PlatformDialect
 from jacinthfold.proxy.events import EventSplitter
+from jacinthfold.transport.channel import Channel, connect
+from jacinthfold.transport.errors import ConnectionLostError
+from jacinthfold.transport.exchange import Exchange
 from tests.gateway import broken_answers as answers
 from tests.gateway import target_standin as standin
 from tests.gateway.broken_answers import ask, events, set_scripts
@@ -98,3 +104,34 @@
     splitter = EventSplitter()
     splitter.feed(b'data: a\n\n\n: keep-alive')
     assert not splitter.is_inside_event
+
+
+def test_connection_that_this_host_ends_is_no_end_of_an_answer(deployment):
+    """Guards against an answer that counts as whole since we gave it up."""
+    target = deployment.add_target('i-1', 'model')
+    target.script = answers.unmarked_body(b'first part', pause_seconds=5)
+
+    async def read_and_abort():
+        channel = await connect(target.address, 2.0)
+        exchange = Exchange(channel, PlatformDialect())
+        headers = [(b'Host', b'x'), (b'Attempt-Id', b'a')]
+        await exchange.send(b'POST', b'/', headers, b'prompt', 'a')
+        await exchange.read_head()
+        asyncio.get_running_loop().call_later(0.1, channel.abort)
+        await exchange.read_body(1000)
+
+    with pytest.raises(ConnectionLostError):
+        deployment.loop.run(read_and_abort())
+
+
+def test_reset_after_an_orderly_end_leaves_the_answer_whole(deployment):
+    """Guards against whole answers that a later reset makes look broken."""
+
+    async def read_after_both():
+        channel = Channel()
+        channel.data_received(b'all of it')
+        channel.eof_received()
+        channel.connection_lost(ConnectionResetError())
+        return await channel.read(), await channel.read()
+
+    assert deployment.loop.run(read_after_both()) == (b'all of it', b'')
