--- a/jacinthfold/proxy/caller_response.py
+++ b/jacinthfold/proxy/caller_response.py
@@ -40,6 +40,16 @@
         self.is_finished = False
         self.status = 0
         self.closes_connection = False
+        # Whether only the end of the connection tells the caller that the body
+        # is over.
+        self._ends_with_connection = False
+
+    def abort(self) -> None:
+        """End the connection so that the response doesn't look complete."""
+        if self._ends_with_connection:
+            self._channel.reset()
+        else:
+            self._channel.abort()
 
     async def send(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response; raise CallerDisconnectedError."""
@@ -71,7 +81,10 @@
         if self.closes_connection:
             framed.append((b'Connection', b'close'))
         event = h11.Response(status_code=status, headers=framed)
-        return self._parser.send(event) or b''
+        content = self._parser.send(event) or b''
+        # Callers of HTTP/1.0 know no chunks.
+        self._ends_with_connection = self._parser.their_http_version == b'1.0'
+        return content
 
     def _end(self) -> bytes:
         return self._parser.send(h11.EndOfMessage()) or b''
--- a/jacinthfold/proxy/listener.py
+++ b/jacinthfold/proxy/listener.py
@@ -170,12 +170,14 @@
         response = CallerResponse(
             self._channel, self._parser, request.method == b'HEAD'
         )
-        await self._cancel_on_disconnect(
-            self._listener.respond(request, response)
-        )
+        try:
+            await self._cancel_on_disconnect(
+                self._listener.respond(request, response)
+            )
+        finally:
+            if not response.is_finished:
+                response.abort()
         if not response.is_finished:
-            # An unfinished response must not look complete.
-            self._channel.abort()
             return False
         return (
             self._parser.our_state is h11.DONE
--- a/jacinthfold/transport/channel.py
+++ b/jacinthfold/transport/channel.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 from collections.abc import Callable
 
 from jacinthfold.transport.errors import ConnectFailedError, ConnectionLostError
@@ -17,6 +18,9 @@
 KEEP_ALIVE_INTERVAL_SECONDS = 1
 KEEP_ALIVE_PROBES = 2
 
+# On, for no seconds: a socket that is closed sends a reset.
+_NO_LINGER = struct.pack('ii', 1, 0)
+
 
 class Channel(asyncio.Protocol):
     """Read and write one connection and detect when the peer closes it."""
@@ -87,10 +91,18 @@
             self._transport.close()
 
     def abort(self) -> None:
-        """Reset the connection."""
+        """Close at once and drop what has not been sent."""
         if self._transport is not None:
             self._transport.abort()
 
+    def reset(self) -> None:
+        """Close by a reset, which no peer takes for an orderly end."""
+        if self._transport is None or self._is_closed():
+            return
+        opened = self._transport.get_extra_info('socket')
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+        self._transport.abort()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and configure its socket."""
         if isinstance(transport, asyncio.Transport):
--- a/tests/gateway/test_answers_without_length.py
+++ b/tests/gateway/test_answers_without_length.py
@@ -33,6 +33,9 @@
     deployment.start_host('north-a')
     for path in ('/warm/x', '/desk/x'):
         wait_served(deployment, 'north-a', path, count=4)
+    for instance, target in deployment.targets.items():
+        if instance.startswith('i'):
+            target.script = standin.stream(5)
     return deployment
 
 
@@ -135,3 +138,21 @@
         return await channel.read(), await channel.read()
 
     assert deployment.loop.run(read_after_both()) == (b'all of it', b'')
+
+
+@pytest.mark.parametrize('version', ['1.0', '1.1'])
+def test_broken_stream_looks_broken_to_callers_of_each_version(
+    engines, version
+):
+    """Guards against a cut that callers without chunks take for the end."""
+    set_scripts(engines, standin.stream(5, cut_at=3))
+    answer = answers.RawAnswer(engines, '/chat/1', version)
+    assert not answer.is_framed_as_complete
+    assert answer.is_reset or answer.has_chunks
+
+
+def test_whole_stream_reaches_a_caller_of_the_old_version(engines):
+    """Guards against a reset of connections whose answer is whole."""
+    answer = answers.RawAnswer(engines, '/chat/1', '1.0')
+    assert answer.body == events(1, 5)
+    assert not answer.is_reset
