Pass on that nothing marked the end of an answer

Callers got a length or a last chunk that this host had added to an answer without either: a claim that the target never made. Where an engine ends between two events, its caller took the part for all of it.

An answer whose end its connection marks is now passed on the same way: no length, no chunks, and the caller's connection ends in an orderly way after it, or by a reset if it broke off. So a whole one still arrives and counts, and nobody claims more than is known. Between hosts chunks and lengths stay, so that broken ones show and connections are kept; the header jacinthfold-end says that the end was not marked. Hosts of the build before ignore it. A stream that had begun with chunks and goes on at a target without them is left open at the end, reason=end_unknown.

Ruled out: to try such a stream again to learn its end, which costs a whole prompt.

--- a/jacinthfold/proxy/caller_response.py
+++ b/jacinthfold/proxy/caller_response.py
@@ -40,6 +40,8 @@
         self.is_finished = False
         self.status = 0
         self.closes_connection = False
+        # Whether the caller was told that the end of the body will be marked.
+        self.promises_end = True
         # Whether only the end of the connection tells the caller that the body
         # is over.
         self._ends_with_connection = False
@@ -51,19 +53,33 @@
         else:
             self._channel.abort()
 
-    async def send(self, status: int, headers: Headers, body: bytes) -> None:
+    async def send(
+        self,
+        status: int,
+        headers: Headers,
+        body: bytes,
+        *,
+        marks_end: bool = True,
+    ) -> None:
         """Send a complete response; raise CallerDisconnectedError."""
-        framed = [*headers, (b'Content-Length', str(len(body)).encode())]
-        content = self._head(status, framed)
+        framed = list(headers)
+        if marks_end:
+            framed.append((b'Content-Length', str(len(body)).encode()))
+        content = self._head(status, framed, marks_end=marks_end)
         if body and not self._is_head:
             content += self._parser.send(h11.Data(data=body)) or b''
         content += self._end()
         await self._write(content)
         self.is_finished = True
 
-    async def start(self, status: int, headers: Headers) -> None:
-        """Send the head of a response of unknown length."""
-        await self._write(self._head(status, headers))
+    async def start(
+        self, status: int, headers: Headers, *, marks_end: bool = True
+    ) -> None:
+        """Send the head of a response of unknown length.
+
+        The end of the connection alone ends a response without a marked end.
+        """
+        await self._write(self._head(status, headers, marks_end=marks_end))
 
     async def write(self, content: bytes) -> None:
         """Send a chunk of the body."""
@@ -74,8 +90,12 @@
         await self._write(self._end())
         self.is_finished = True
 
-    def _head(self, status: int, headers: Headers) -> bytes:
+    def _head(self, status: int, headers: Headers, *, marks_end: bool) -> bytes:
         self.has_started = True
+        if not marks_end:
+            # For later versions the parser adds chunks, whose last one would
+            # mark the end.
+            self._parser.their_http_version = b'1.0'
         self.status = status
         framed = list(headers)
         if self.closes_connection:
--- a/jacinthfold/proxy/delivery.py
+++ b/jacinthfold/proxy/delivery.py
@@ -11,7 +11,12 @@
 from jacinthfold.proxy.outcome import Ending, Outcome
 from jacinthfold.proxy.progress import AnswerEnd, Progress
 from jacinthfold.proxy.response_timeout import ResponseTimeout
-from jacinthfold.request.messages import Request, ResponseHead, first_header
+from jacinthfold.request.messages import (
+    BodyEnd,
+    Request,
+    ResponseHead,
+    first_header,
+)
 from jacinthfold.transport.channel import Channel
 from jacinthfold.transport.errors import ConnectionLostError, ProxyError
 from jacinthfold.transport.exchange import Exchange
@@ -90,10 +95,11 @@
             exchange.read_head(), self._timeout.soft_timeout_seconds
         )
         self.on_activity()
-        self._progress.answer_end.body_end = head.body_end
         self.on_head(head)
         if self.is_peer:
             self.peer_version = relay_header.take_version(head)
+            relay_header.take_end(head)
+        self._progress.answer_end.body_end = head.body_end
         return head
 
     async def deliver(self, exchange: Exchange, head: ResponseHead) -> Outcome:
@@ -108,7 +114,7 @@
         if self._response.has_started or (is_failure and self._may_retry()):
             reason = f'status_{head.status}'
             return Outcome(Ending.FAILED, reason, head=head, body=body)
-        await self._response.send(head.status, head.end_to_end_headers(), body)
+        await send_whole(self._request, self._response, head, body)
         if is_failure:
             return Outcome(Ending.DELIVERED, f'status_{head.status}')
         return Outcome(Ending.DELIVERED)
@@ -141,7 +147,11 @@
         await self._forward_events(splitter.incomplete, head)
         if not self._response.has_started:
             await self._start_response(head)
-        await self._response.finish()
+        if self._response.promises_end and head.body_end is BodyEnd.CONNECTION:
+            # The caller's framing can't say that the end is unknown.
+            self._progress.answer_end.is_left_open = True
+        else:
+            await self._response.finish()
         return Outcome(Ending.DELIVERED)
 
     async def _forward_events(self, events: bytes, head: ResponseHead) -> None:
@@ -161,7 +171,11 @@
         headers = head.end_to_end_headers()
         if self._request.is_relayed:
             headers += relay_header.version_header(self._request.origin)
-        await self._response.start(head.status, headers)
+            headers += relay_header.end_header(head)
+        self._response.promises_end = head.body_end is not BodyEnd.CONNECTION
+        await self._response.start(
+            head.status, headers, marks_end=_marks_end(self._request, head)
+        )
 
     def _record_first_event(self) -> None:
         # A stream that was resumed at another target has begun before.
@@ -183,6 +197,23 @@
         return self._progress.runs + 1 < route.max_attempts
 
 
+async def send_whole(
+    request: Request, response: CallerResponse, head: ResponseHead, body: bytes
+) -> None:
+    """Send a buffered response with the framing that its target allows."""
+    headers = head.end_to_end_headers()
+    if request.is_relayed:
+        headers += relay_header.end_header(head)
+    await response.send(
+        head.status, headers, body, marks_end=_marks_end(request, head)
+    )
+
+
+def _marks_end(request: Request, head: ResponseHead) -> bool:
+    # Between hosts the framing tells whole from broken, and a header the rest.
+    return request.is_relayed or head.body_end is not BodyEnd.CONNECTION
+
+
 def _has_events(head: ResponseHead) -> bool:
     content_type = first_header(head.headers, b'content-type')
     return not content_type or content_type.startswith(EVENT_STREAM_TYPE)
--- a/jacinthfold/proxy/forwarding.py
+++ b/jacinthfold/proxy/forwarding.py
@@ -18,6 +18,7 @@
 )
 from jacinthfold.proxy.attempts import Attempts
 from jacinthfold.proxy.caller_response import CallerResponse
+from jacinthfold.proxy.delivery import send_whole
 from jacinthfold.proxy.metrics import ProxyMetrics
 from jacinthfold.proxy.outcome import Ending, Outcome
 from jacinthfold.proxy.progress import Progress
@@ -207,11 +208,7 @@
             return
         failed = progress.failed_outcome
         if failed is not None and failed.head is not None:
-            await response.send(
-                failed.head.status,
-                failed.head.end_to_end_headers(),
-                failed.body,
-            )
+            await send_whole(request, response, failed.head, failed.body)
             return
         base_headers = self._dialect.gateway_headers(request.facts.request_id)
         if request.is_relayed:
@@ -281,7 +278,9 @@
             return
         logs.warning(
             'request_not_served',
-            reason=progress.reason or 'caller_left',
+            reason=progress.reason
+            or progress.answer_end.reason
+            or 'caller_left',
             after_seconds=progress.after_seconds,
             **fields,
         )
--- a/jacinthfold/proxy/progress.py
+++ b/jacinthfold/proxy/progress.py
@@ -16,16 +16,28 @@
 class AnswerEnd:
     """Describe the end of the last response, for logs and metrics."""
 
-    __slots__ = ('body_end', 'is_orderly', 'partial_event_bytes')
+    __slots__ = (
+        'body_end',
+        'is_left_open',
+        'is_orderly',
+        'partial_event_bytes',
+    )
 
     def __init__(self) -> None:
         """Start before the head of a response."""
         self.body_end: BodyEnd | None = None
+        # Whether the caller was not told that this is the end.
+        self.is_left_open = False
         # Whether its connection ended without a reset.
         self.is_orderly = False
         # Bytes after its last complete event.
         self.partial_event_bytes = 0
 
+    @property
+    def reason(self) -> str:
+        """Return why the caller's response was left open, or ''."""
+        return 'end_unknown' if self.is_left_open else ''
+
     def log_fields(self) -> dict[str, object]:
         """Return the fields for the log, none before the head."""
         if self.body_end is None:
--- a/jacinthfold/proxy/relay_header.py
+++ b/jacinthfold/proxy/relay_header.py
@@ -6,13 +6,16 @@
 
 import msgspec
 
+from jacinthfold import logs
 from jacinthfold.catalogue.model import RetryPolicy, Route
 from jacinthfold.request.messages import (
+    BodyEnd,
     Headers,
     Request,
     ResponseHead,
     first_header,
 )
+from jacinthfold.request.numbers import excerpt
 from jacinthfold.request.stream_origin import StreamOrigin
 
 # Internal headers are dropped from callers' requests and are never sent to
@@ -24,8 +27,18 @@
 REASON_HEADER = b'jacinthfold-reason'
 # The software version at which the stream of a response began.
 VERSION_HEADER = b'jacinthfold-version'
+# Sent with a response whose target did not mark the end of its body. Hosts of
+# the previous version ignore it.
+END_HEADER = b'jacinthfold-end'
+UNMARKED_END = b'unmarked'
 INTERNAL_HEADERS = frozenset(
-    (REQUEST_HEADER, OUTCOME_HEADER, REASON_HEADER, VERSION_HEADER)
+    (
+        REQUEST_HEADER,
+        OUTCOME_HEADER,
+        REASON_HEADER,
+        VERSION_HEADER,
+        END_HEADER,
+    )
 )
 
 
@@ -145,6 +158,30 @@
     return unquote(content.decode('latin-1')) or None
 
 
+def end_header(head: ResponseHead) -> Headers:
+    """Return the header that tells a peer that nothing marked the end."""
+    if head.body_end is not BodyEnd.CONNECTION:
+        return []
+    return [(END_HEADER, UNMARKED_END)]
+
+
+def take_end(head: ResponseHead) -> None:
+    """Remove a peer's header of an unmarked end and apply it to the head."""
+    content = first_header(head.headers, END_HEADER)
+    if not content:
+        return
+    head.headers = [
+        pair for pair in head.headers if pair[0].lower() != END_HEADER
+    ]
+    head.body_end = BodyEnd.CONNECTION
+    if content != UNMARKED_END:
+        logs.warning(
+            'peer_header_unreadable',
+            header=END_HEADER.decode(),
+            content=excerpt(content),
+        )
+
+
 def apply_route(request: Request, now: float) -> str:
     """Apply the route that another host wrote; raise ValueError.
 
--- a/tests/gateway/broken_answers.py
+++ b/tests/gateway/broken_answers.py
@@ -100,7 +100,7 @@
         lines = [f'POST {path} HTTP/{version}', 'Host: api.example']
         lines += [f'{name}: {content}' for name, content in PROMPT]
         lines += [f'Attempt-Id: {new_id()}', 'Content-Length: 6']
-        lines.append('Request-Deadline: 4000')
+        lines += ['Request-Deadline: 4000', 'Connection: close']
         address = deployment.hosts[host].callers
         self.content = b''
         self.is_reset = False
--- a/tests/gateway/test_answers_without_length.py
+++ b/tests/gateway/test_answers_without_length.py
@@ -5,7 +5,9 @@
 import pytest
 
 from jacinthfold.platform.dialect import PlatformDialect
+from jacinthfold.proxy import relay_header
 from jacinthfold.proxy.events import EventSplitter
+from jacinthfold.request.messages import BodyEnd, ResponseFacts, ResponseHead
 from jacinthfold.transport.channel import Channel, connect
 from jacinthfold.transport.errors import ConnectionLostError
 from jacinthfold.transport.exchange import Exchange
@@ -39,6 +41,25 @@
     return deployment
 
 
+@pytest.fixture
+def far_engines(deployment):
+    """Start a host whose targets all are in another region."""
+    deployment.put_routes(
+        route('/chat/', 'model', 'stream', **{'max-attempts': 1}),
+        route('/warm/', 'model', 'idempotent'),
+        route('/desk/', 'desk', 'idempotent'),
+    )
+    for number in (1, 2):
+        deployment.add_target(f'i-{number}', 'model', 'south-1')
+        deployment.add_target(f'd-{number}', 'desk', 'south-1')
+    first = deployment.start_host('north-a')
+    seeds = f'{first.control[0]}:{first.control[1]}'
+    deployment.start_host('south-a', 'south-1', seeds=seeds)
+    for path in ('/warm/x', '/desk/x'):
+        wait_served(deployment, 'north-a', path, count=4)
+    return deployment
+
+
 @pytest.mark.parametrize('resets', [False, True])
 def test_stream_broken_inside_an_event_is_not_framed_as_complete(
     engines, resets
@@ -156,3 +177,98 @@
     answer = answers.RawAnswer(engines, '/chat/1', '1.0')
     assert answer.body == events(1, 5)
     assert not answer.is_reset
+
+
+@pytest.mark.parametrize('path', ['/chat/1', '/review/1'])
+def test_stream_whose_end_is_not_known_is_not_framed_as_complete(engines, path):
+    """Guards against a claim that nobody made: an end between two events."""
+    set_scripts(engines, answers.unmarked(3))
+    answer = answers.RawAnswer(engines, path)
+    assert answer.body == events(1, 3)
+    assert not answer.is_framed_as_complete
+    assert not answer.is_reset
+
+
+@pytest.mark.parametrize('path', ['/desk/1', '/order/1'])
+def test_call_whose_end_is_not_known_is_not_framed_as_complete(engines, path):
+    """Guards against a length that this host adds to a body without one."""
+    set_scripts(engines, answers.unmarked_body(b'all or a part'))
+    answer = answers.RawAnswer(engines, path)
+    assert answer.body == b'all or a part'
+    assert not answer.is_framed_as_complete
+    assert not answer.is_reset
+    assert ask(engines, path).is_whole
+
+
+@pytest.mark.parametrize('path', ['/desk/1', '/order/1'])
+def test_call_that_is_reset_is_not_delivered(engines, path):
+    """Guards against a part of a body that is delivered as all of it."""
+    set_scripts(engines, answers.unmarked_body(b'a part', resets=True))
+    assert answers.RawAnswer(engines, path).head.split()[1] == b'502'
+
+
+def test_connection_whose_end_ended_an_answer_is_not_used_again(engines):
+    """Guards against a request on a connection that is over."""
+    set_scripts(engines, answers.unmarked(5))
+    for _ in range(6):
+        answer = ask(engines, '/chat/1')
+        assert answer.is_whole
+        assert answer.body == events(1, 5)
+
+
+def test_stream_that_promised_an_end_is_left_open_if_none_is_known(engines):
+    """Guards against a last chunk after a resumed part without one."""
+    script = answers.once(standin.stream(5, cut_at=3), answers.unmarked(4))
+    set_scripts(engines, script)
+    answer = answers.RawAnswer(engines, '/review/1')
+    assert answer.has_chunks
+    assert b'piece 4' in answer.body
+    assert not answer.is_framed_as_complete
+    engines.wait_log('north-a', 'reason=end_unknown')
+
+
+@pytest.mark.parametrize(
+    ('first', 'path'),
+    [
+        (answers.unmarked(5), '/chat/1'),
+        (answers.unmarked_body(b'all or a part'), '/desk/1'),
+    ],
+)
+def test_relayed_answer_whose_end_is_not_known_is_not_framed_as_complete(
+    far_engines, first, path
+):
+    """Guards against a relay's own framing that hides how an answer ended."""
+    set_scripts(far_engines, first)
+    answer = answers.RawAnswer(far_engines, path)
+    assert answer.body in {events(1, 5), b'all or a part'}
+    assert not answer.is_framed_as_complete
+    assert not answer.is_reset
+    assert b'jacinthfold-end' not in answer.head
+    assert ask(far_engines, path).is_whole
+
+
+@pytest.mark.parametrize('resets', [False, True])
+def test_relayed_stream_that_broke_off_is_not_framed_as_complete(
+    far_engines, resets
+):
+    """Guards against a cut that only the host beside the target sees."""
+    set_scripts(far_engines, answers.unmarked(3, HALF, resets=resets))
+    answer = answers.RawAnswer(far_engines, '/chat/1')
+    assert answer.body.startswith(events(1, 3)[:10])
+    assert HALF not in answer.body
+    assert answer.is_reset or answer.has_chunks
+    assert not answer.is_framed_as_complete
+
+
+def test_relayed_whole_stream_still_says_that_it_is_complete(far_engines):
+    """Guards against whole answers that lose their end on the way."""
+    set_scripts(far_engines, standin.stream(5))
+    assert answers.RawAnswer(far_engines, '/chat/1').is_framed_as_complete
+
+
+def test_unreadable_header_of_an_end_counts_as_unmarked():
+    """Guards against a claim of completeness by a word that is not known."""
+    head = ResponseHead(200, [(b'Jacinthfold-End', b'?')], ResponseFacts())
+    relay_header.take_end(head)
+    assert head.body_end is BodyEnd.CONNECTION
+    assert head.headers == []
