--- a/tests/gateway/ending_targets.py
+++ b/tests/gateway/ending_targets.py
@@ -15,9 +15,10 @@
 class EndingTargets:
     """Keep engines running: each that ends is followed by another life."""
 
-    def __init__(self, deployment, fatal=(FATAL,)):
+    def __init__(self, deployment, fatal=(FATAL,), fatal_parts=()):
         self.deployment = deployment
         self.fatal = set(fatal)
+        self.fatal_parts = set(fatal_parts)
         # Names of the lives that ended under a fatal request, in order.
         self.ended = []
         # Fatal requests that arrived at engines.
@@ -49,6 +50,11 @@
         target = self.deployment.targets[instance]
         self.deployment.loop.run(self._end(target))
 
+    def _is_fatal(self, request):
+        segments = request.headers.get('prompt-prefix', '').split(',')
+        names = {one.partition(':')[0] for one in segments}
+        return request.body in self.fatal or bool(names & self.fatal_parts)
+
     def _take(self, target, data_centre, service):
         target.script = self._script
         target.data_centre = data_centre
@@ -56,7 +62,7 @@
         self._lives[target.instance] = data_centre
 
     async def _script(self, target, request, writer):
-        if request.body not in self.fatal:
+        if not self._is_fatal(request):
             self.served.append(request)
             if target.service == 'model':
                 return await standin.stream(3)(target, request, writer)
