Refuse prompts with a part that crashes targets

Three long streams that ran beside were refused, the culprits never.

Class: poison message by content, with state kept by the wrong identity.

The parts of a prompt but its last one are suspects now, by a keyed digest of service, software version, organisation and name, in the table, reports and records that hold crashing requests. A part is suspected if its request had begun for less than a second when the target crashed, and if no target has borne it in the ten seconds before: answered with it and still stood a second later. One that is borne is cleared, by whichever host sees it. Of two parts at the same crashes the one that comes with fewer requests is the likelier. Requests go to other versions of the software while they serve.

Ruled out: missed ends (as many target_ended as engines ended), cold engines (cause=unknown for engines that had run for long).

--- a/jacinthfold/gateway/node.py
+++ b/jacinthfold/gateway/node.py
@@ -161,6 +161,7 @@
         attempts.on_first_event = view.placer.record_first_event
         attempts.has_alternative = view.placer.has_alternative
         view.placer.on_answer_lag = self.metrics.set_answer_lag
+        attempts.refuses_version = view.quarantine.refuses_version
         return attempts
 
     def _listener(
--- a/jacinthfold/placement/software_versions.py
+++ b/jacinthfold/placement/software_versions.py
@@ -109,6 +109,10 @@
             version for version, at in gone_at.items() if at > limit
         }
 
+    def present(self, service: str) -> frozenset[str]:
+        """Return the versions of the targets that serve now."""
+        return self._present.get(service, frozenset())
+
     def is_mixed(self, service: str) -> bool:
         """Tell whether a stream may have begun at one of several versions."""
         return len(self.recent(service)) > 1
--- a/jacinthfold/proxy/attempts.py
+++ b/jacinthfold/proxy/attempts.py
@@ -26,6 +26,8 @@
 from jacinthfold.transport.exchange import Exchange
 from jacinthfold.transport.pool import ConnectionPool, Endpoint
 
+# The reason of a rejection since a part crashes this version of the software.
+QUARANTINED_PART = 'quarantined_part'
 # Targets are in the same region, under 1 ms away; this leaves time for three
 # lost packets.
 CONNECT_TIMEOUT_SECONDS = 0.4
@@ -87,6 +89,8 @@
         # Called before a caller gets the first event of a stream, with the
         # version of the software that made it, None if that is unknown.
         self.on_begin: Callable[[Request, str | None], None] = _ignore_begin
+        # Tells whether a part of a prompt crashes targets of a version.
+        self.refuses_version: Callable[[Request, str], bool] = _refuse_none
         # Called when a request has ended at a target, however it ended: its
         # place is free again.
         self.on_place_freed: Callable[[Target], None] | None = None
@@ -126,7 +130,11 @@
         if self.on_place_freed is not None:
             load.on_released = self.on_place_freed
         delivery.on_first_event = partial(
-            self._record_first_event, load, target, began_at
+            self._record_first_event,
+            load,
+            target,
+            began_at,
+            partial(self._crash_detector.parts.record_begun, attempt),
         )
         # Records of this incarnation that come later may tell another version.
         version = target.record.software_version
@@ -151,6 +159,7 @@
                 attempt,
                 delivery.first_event_at,
                 is_broken=delivery.is_broken,
+                is_complete=delivery.is_complete,
             )
         if outcome.ending is Ending.DELIVERED and delivery.first_event_at:
             seconds = delivery.first_event_at - began_at
@@ -209,6 +218,8 @@
         target = estimate.target
         if not request.may_run_at(target.record.software_version):
             return 'other_version'
+        if self.refuses_version(request, target.record.software_version):
+            return QUARANTINED_PART
         return target.rejection_reason(
             self._clock.monotonic(), is_counted=estimate.is_counted
         )
@@ -408,8 +419,10 @@
         load: in_flight_load.InFlightLoad,
         target: Target,
         began_at: float,
+        record_begun: Callable[[], None],
     ) -> None:
         load.record_prefilled()
+        record_begun()
         target.record_first_event(began_at, self._clock.monotonic())
 
     def _update_latency_model(
@@ -445,6 +458,10 @@
     """Do nothing when a stream begins."""
 
 
+def _refuse_none(_request: Request, _version: str) -> bool:
+    return False
+
+
 def _always(
     _request: Request, _tried: Collection[str], _regions: Collection[str]
 ) -> bool:
--- a/jacinthfold/proxy/delivery.py
+++ b/jacinthfold/proxy/delivery.py
@@ -54,6 +54,8 @@
         self.is_peer = False
         # Whether the peer closed the connection before the response ended.
         self.is_broken = False
+        # Whether the target marked the end of a whole answer.
+        self.is_complete = False
         # Version of the target's software, as a peer told it.
         self.peer_version: str | None = None
         # Records where a stream begins, before its caller gets an event.
@@ -152,6 +154,9 @@
             self._progress.answer_end.is_left_open = True
         else:
             await self._response.finish()
+        self.is_complete = head.body_end is not BodyEnd.CONNECTION
+        # A target may end as it begins; its probe tells.
+        self.is_broken = not self.is_complete and not self.first_event_at
         return Outcome(Ending.DELIVERED)
 
     async def _forward_events(self, events: bytes, head: ResponseHead) -> None:
--- a/jacinthfold/proxy/request_log.py
+++ b/jacinthfold/proxy/request_log.py
@@ -88,5 +88,6 @@
         reason=QUARANTINED,
         service=request.service_name,
         fingerprint=refusal.fingerprint,
+        part=refusal.is_of_part,
         after_seconds=refusal.seconds,
     )
--- a/jacinthfold/quarantine/crash_detector.py
+++ b/jacinthfold/quarantine/crash_detector.py
@@ -21,6 +21,7 @@
 )
 from jacinthfold.quarantine.fingerprints import Fingerprints
 from jacinthfold.quarantine.head_timing import HeadTiming
+from jacinthfold.quarantine.prompt_parts import PromptParts
 from jacinthfold.request.messages import Request
 from jacinthfold.transport.channel import connect
 from jacinthfold.transport.errors import ConnectFailedError
@@ -42,6 +43,7 @@
 OVERRUN_FACTOR = 1.5
 SEND_WINDOW_SECONDS = 1.0
 MAX_LOG_LINES_PER_CRASH = 16
+MAX_LOGGED_PARTS = 4
 
 
 class CrashDetector:
@@ -54,6 +56,7 @@
         self._targets = targets
         self._fingerprints = fingerprints
         self._clock = clock
+        self.parts = PromptParts(fingerprints, clock)
         self._heads = HeadTiming()
         self._incarnations: dict[str, TargetIncarnation] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -90,14 +93,22 @@
         return attempt
 
     def record_finish(
-        self, attempt: Attempt, first_event_at: float, *, is_broken: bool
+        self,
+        attempt: Attempt,
+        first_event_at: float,
+        *,
+        is_broken: bool,
+        is_complete: bool = False,
     ) -> None:
         """Record the end of an attempt and the time of its first event.
 
         The time is 0 without an event. An attempt is broken if the target
-        closed the connection.
+        closed the connection, and complete if it marked the end of its answer.
         """
         attempt.first_event_at = first_event_at or None
+        attempt.finished_at = self._clock.monotonic()
+        attempt.is_broken = is_broken
+        attempt.is_complete = is_complete
         target = attempt.target
         incarnation = attempt.incarnation
         incarnation.attempts.remove(attempt)
@@ -222,15 +233,21 @@
         if not simultaneous:
             return CrashCause.UNKNOWN, incarnation.broken
         elsewhere = {
-            self._fingerprints.of(attempt.request) for attempt in simultaneous
+            identity
+            for attempt in simultaneous
+            for identity in self._identities(attempt)
         }
         common = [
             attempt
             for attempt in incarnation.broken
-            if self._fingerprints.of(attempt.request) in elsewhere
+            if not elsewhere.isdisjoint(self._identities(attempt))
         ]
         return CrashCause.SEVERAL_TOGETHER, common
 
+    def _identities(self, attempt: Attempt) -> list[str]:
+        own = self._fingerprints.of(attempt.request)
+        return [own, *self.parts.suspected(attempt)]
+
     def _broken_simultaneously(
         self, target: Target, incarnation: TargetIncarnation
     ) -> list[Attempt]:
@@ -252,6 +269,7 @@
             PresentRequest(
                 attempt,
                 self._fingerprints.of(attempt.request),
+                self.parts.suspected(attempt),
                 is_started=attempt.is_started
                 or not self._heads_are_early(target),
             )
@@ -278,6 +296,7 @@
                 target=target.record.instance,
                 begun=one.is_started,
                 events=one.has_events,
+                parts=','.join(one.part_fingerprints[:MAX_LOGGED_PARTS]),
             )
         self.on_crash(crash)
 
--- a/jacinthfold/quarantine/crash_model.py
+++ b/jacinthfold/quarantine/crash_model.py
@@ -30,6 +30,11 @@
         # None unless it has crashed.
         self.cause: CrashCause | None = None
 
+    @property
+    def is_ending(self) -> bool:
+        """Return whether connections to this incarnation broke just now."""
+        return bool(self.broken) or self.has_crashed
+
     @property
     def has_crashed(self) -> bool:
         """Return whether this incarnation is known to have crashed."""
@@ -40,8 +45,11 @@
     """Request that was sent to a target."""
 
     __slots__ = (
+        'finished_at',
         'started_at',
         'first_event_at',
+        'is_broken',
+        'is_complete',
         'is_started',
         'incarnation',
         'request',
@@ -65,6 +73,17 @@
         # By the monotonic clock of this host; None until it happens.
         self.started_at: float | None = None
         self.first_event_at: float | None = None
+        self.finished_at: float | None = None
+        # Whether the target closed the connection before the answer ended, or
+        # marked the end of a whole one.
+        self.is_broken = False
+        self.is_complete = False
+
+    def had_just_begun(self, seconds: float) -> bool:
+        """Check whether it ended shortly after its first event, or before."""
+        if self.first_event_at is None or self.finished_at is None:
+            return True
+        return self.finished_at - self.first_event_at < seconds
 
     def record_activity(self, clock: Clock) -> None:
         """Record that data of the response arrived."""
@@ -78,13 +97,26 @@
 class PresentRequest:
     """Request that was present at a crash."""
 
-    __slots__ = ('fingerprint', 'has_events', 'is_started', 'request_id')
+    __slots__ = (
+        'fingerprint',
+        'has_events',
+        'is_started',
+        'part_fingerprints',
+        'request_id',
+    )
 
     def __init__(
-        self, attempt: Attempt, fingerprint: str, *, is_started: bool
+        self,
+        attempt: Attempt,
+        fingerprint: str,
+        part_fingerprints: list[str],
+        *,
+        is_started: bool,
     ) -> None:
-        """Set the attempt and the fingerprint of its request."""
+        """Set the attempt and the fingerprints of its request and parts."""
         self.fingerprint = fingerprint
+        # Those of the parts of its prompt that may have crashed the target.
+        self.part_fingerprints = part_fingerprints
         self.request_id = attempt.request.facts.request_id
         self.is_started = is_started
         self.has_events = attempt.first_event_at is not None
--- a/jacinthfold/quarantine/crashes.py
+++ b/jacinthfold/quarantine/crashes.py
@@ -42,17 +42,23 @@
         'crashes',
         'is_observed_here',
         'region_changed_at',
+        'seen_count',
         'served_at_ms',
+        'suspected_at',
     )
 
     def __init__(self, now: float) -> None:
         """Start without crashes."""
         self.crashes: dict[str, Crash] = {}
         self.served_at_ms = 0
+        # Requests at this host with the part, since the first crash.
+        self.seen_count = 0
         # Whether this host itself observed one of the crashes.
         self.is_observed_here = False
-        # By the clock of this host: the last crash, the last change, and the
-        # last change that this host has to report within its region.
+        # By the clock of this host: the first crash, the last one, the last
+        # change, and the last change that this host has to report within its
+        # region.
+        self.suspected_at = now
         self.last_crash_at = now
         self.changed_at = now
         self.region_changed_at = float('-inf')
--- a/jacinthfold/quarantine/fingerprints.py
+++ b/jacinthfold/quarantine/fingerprints.py
@@ -10,6 +10,7 @@
 FINGERPRINT_BYTES = 16
 KEY_BYTES = 32
 _LENGTH_BYTES = 8
+_PART_PREFIX = 'part-'
 
 
 class Fingerprints:
@@ -55,6 +56,10 @@
             request.body,
         )
 
+    def of_prompt_part(self, *scope: bytes) -> str:
+        """Return the fingerprint of a part of prompts and its scope."""
+        return f'{_PART_PREFIX}{self.of_parts(*scope)}'
+
     def of_parts(self, *parts: bytes) -> str:
         """Return the fingerprint of the parts that identify a request."""
         if not self._key:
@@ -64,3 +69,8 @@
             digest.update(len(part).to_bytes(_LENGTH_BYTES))
             digest.update(part)
         return digest.hexdigest()
+
+
+def is_part(fingerprint: str) -> bool:
+    """Check whether a fingerprint is that of a part of prompts."""
+    return fingerprint.startswith(_PART_PREFIX)
--- a/jacinthfold/quarantine/suspects.py
+++ b/jacinthfold/quarantine/suspects.py
@@ -18,6 +18,7 @@
     Suspect,
     SuspectReport,
 )
+from jacinthfold.quarantine.fingerprints import is_part
 
 # A request is refused after it was running at this many crashes. Bystanders
 # reach one or two; retries by callers and by hosts take few of them to three.
@@ -26,6 +27,9 @@
 # How long a request is refused after its last crash. It is then allowed again,
 # since a new engine version may handle it; one more crash refuses it again.
 REFUSAL_SECONDS = 600.0
+# A part of prompts is refused no sooner after its first crash: answers that
+# other targets have begun show meanwhile whether they bear it.
+PART_DELAY_SECONDS = 1.5
 EXPIRY_CHECK_SECONDS = 5.0
 # 4,096 entries of three crashes take some 2 MB. Entries with the least weight
 # are dropped first, the oldest of these before others: a flood of bodies with
@@ -58,6 +62,8 @@
         self._suspects: dict[str, Suspect] = {}
         # Enough weight to be refused, unless others explain their crashes.
         self._over_threshold: set[str] = set()
+        # Those whose refusal was logged.
+        self._announced: set[str] = set()
         self._expired_at = clock.monotonic()
         self.on_refused: Callable[[str], None] = _ignore_refusal
         self.on_crashes: Callable[[str, Suspect], None] = _ignore_crashes
@@ -88,6 +94,10 @@
         )
         if remaining <= 0 or self._is_explained(fingerprint, suspect):
             return None
+        since = self._clock.monotonic() - suspect.suspected_at
+        if is_part(fingerprint) and since < PART_DELAY_SECONDS:
+            return None
+        self._announce(fingerprint, suspect)
         return remaining
 
     def refused(self) -> dict[str, int]:
@@ -104,6 +114,12 @@
             self._find_or_create(fingerprint).is_observed_here = True
             self._add_crashes(fingerprint, [crash], is_new_in_region=True)
 
+    def record_seen(self, fingerprint: str) -> None:
+        """Record that a request with a part has come to this host."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is not None:
+            suspect.seen_count += 1
+
     def record_served(self, fingerprint: str) -> None:
         """Record that a target completed a request without crashing."""
         suspect = self._suspects.get(fingerprint)
@@ -180,6 +196,7 @@
     def _drop(self, fingerprint: str) -> None:
         self._suspects.pop(fingerprint)
         self._over_threshold.discard(fingerprint)
+        self._announced.discard(fingerprint)
 
     def _find_or_create(self, fingerprint: str) -> Suspect:
         suspect = self._suspects.get(fingerprint)
@@ -202,6 +219,8 @@
         if not new:
             return
         suspect = self._find_or_create(fingerprint)
+        if not suspect.crashes:
+            suspect.suspected_at = self._clock.monotonic()
         for crash in new[:MAX_CRASHES_PER_SUSPECT]:
             suspect.crashes[crash.incarnation_id] = crash
         suspect.last_crash_at = self._clock.monotonic()
@@ -253,32 +272,33 @@
         if is_new_in_region:
             suspect.region_changed_at = now
         self.on_crashes(fingerprint, suspect)
-        was_over_threshold = fingerprint in self._over_threshold
         if suspect.weight < REFUSAL_WEIGHT:
             self._over_threshold.discard(fingerprint)
+            self._announced.discard(fingerprint)
             return
         self._over_threshold.add(fingerprint)
-        is_refused = self.refused_seconds(fingerprint) is not None
-        if is_refused and not was_over_threshold:
-            logs.warning(
-                'request_quarantined',
-                fingerprint=fingerprint,
-                targets=','.join(suspect.crashes),
-                weight=suspect.weight,
-                fresh=suspect.no_output_count,
-            )
-            self.on_refused(fingerprint)
+        # Announces the refusal.
+        self.refused_seconds(fingerprint)
+
+    def _announce(self, fingerprint: str, suspect: Suspect) -> None:
+        if fingerprint in self._announced:
+            return
+        self._announced.add(fingerprint)
+        logs.warning(
+            'request_quarantined',
+            fingerprint=fingerprint,
+            targets=','.join(suspect.crashes),
+            weight=suspect.weight,
+            fresh=suspect.no_output_count,
+        )
+        self.on_refused(fingerprint)
 
     def _is_explained(self, fingerprint: str, suspect: Suspect) -> bool:
         """Return whether likelier culprits explain too many of the crashes."""
-        # A long stream that is resumed or retried beside the culprit may be
-        # present at three crashes as well. The likelier culprit is the request
-        # that more often had no output yet.
         explained = {
             incarnation_id
             for other in self._over_threshold
-            if other != fingerprint
-            and self._suspects[other].no_output_count > suspect.no_output_count
+            if other != fingerprint and self._is_likelier(other, fingerprint)
             for incarnation_id in self._suspects[other].crashes
         }
         weight = sum(
@@ -288,6 +308,17 @@
         )
         return weight < REFUSAL_WEIGHT
 
+    def _is_likelier(self, other: str, fingerprint: str) -> bool:
+        """Return whether another suspect is the likelier culprit."""
+        likelier, suspect = self._suspects[other], self._suspects[fingerprint]
+        if is_part(fingerprint):
+            # What most prompts share is present at every crash.
+            return is_part(other) and likelier.seen_count < suspect.seen_count
+        # A long stream that is resumed or retried beside the culprit may be
+        # present at three crashes as well. The likelier culprit is the request
+        # that more often had no output yet.
+        return likelier.no_output_count > suspect.no_output_count
+
     def _now_ms(self) -> int:
         return round(self._clock.now().timestamp() * _MS_PER_SECOND)
 
