Let a request that crashes targets explain the crashes of its parts

Two bad requests and a bad part crash engines within a second, all share the first part, and only parts explained the crashes of parts. A request that had just begun at three crashes does now. A bystander that is over the threshold with events at its crashes doesn't.

test_request_that_crashes_targets_does_not_get_its_parts_refused failed before.

--- a/jacinthfold/quarantine/suspects.py
+++ b/jacinthfold/quarantine/suspects.py
@@ -94,8 +94,7 @@
         )
         if remaining <= 0 or self._is_explained(fingerprint, suspect):
             return None
-        since = self._clock.monotonic() - suspect.suspected_at
-        if is_part(fingerprint) and since < PART_DELAY_SECONDS:
+        if is_part(fingerprint) and self._may_be_cleared(suspect):
             return None
         self._announce(fingerprint, suspect)
         return remaining
@@ -174,7 +173,7 @@
         ]
 
     def expire_if_due(self) -> None:
-        """Drop old entries if the last check is long enough ago."""
+        """Drop old entries if due; call it several times a second."""
         if self._clock.monotonic() - self._expired_at > EXPIRY_CHECK_SECONDS:
             self._expire()
 
@@ -280,6 +279,10 @@
         # Announces the refusal.
         self.refused_seconds(fingerprint)
 
+    def _may_be_cleared(self, suspect: Suspect) -> bool:
+        since = self._clock.monotonic() - suspect.suspected_at
+        return since < PART_DELAY_SECONDS
+
     def _announce(self, fingerprint: str, suspect: Suspect) -> None:
         if fingerprint in self._announced:
             return
@@ -298,7 +301,10 @@
         explained = {
             incarnation_id
             for other in self._over_threshold
-            if other != fingerprint and self._is_likelier(other, fingerprint)
+            if other != fingerprint
+            and _is_likelier(
+                (other, self._suspects[other]), (fingerprint, suspect)
+            )
             for incarnation_id in self._suspects[other].crashes
         }
         weight = sum(
@@ -308,17 +314,6 @@
         )
         return weight < REFUSAL_WEIGHT
 
-    def _is_likelier(self, other: str, fingerprint: str) -> bool:
-        """Return whether another suspect is the likelier culprit."""
-        likelier, suspect = self._suspects[other], self._suspects[fingerprint]
-        if is_part(fingerprint):
-            # What most prompts share is present at every crash.
-            return is_part(other) and likelier.seen_count < suspect.seen_count
-        # A long stream that is resumed or retried beside the culprit may be
-        # present at three crashes as well. The likelier culprit is the request
-        # that more often had no output yet.
-        return likelier.no_output_count > suspect.no_output_count
-
     def _now_ms(self) -> int:
         return round(self._clock.now().timestamp() * _MS_PER_SECOND)
 
@@ -329,3 +324,20 @@
 
 def _ignore_refusal(_: str) -> None:
     """Ignore the refusal."""
+
+
+def _is_likelier(
+    likelier: tuple[str, Suspect], suspected: tuple[str, Suspect]
+) -> bool:
+    """Return whether one suspect is a likelier culprit than another."""
+    other, fingerprint = likelier[0], suspected[0]
+    if is_part(fingerprint):
+        # What most prompts share is present at every crash, also at those under
+        # a request that crashes targets itself.
+        if is_part(other):
+            return likelier[1].seen_count < suspected[1].seen_count
+        return likelier[1].no_output_count >= REFUSAL_CRASHES
+    # A long stream that is resumed or retried beside the culprit may be present
+    # at three crashes as well. The likelier culprit is the request that more
+    # often had no output yet.
+    return likelier[1].no_output_count > suspected[1].no_output_count
--- a/tests/gateway/ending_targets.py
+++ b/tests/gateway/ending_targets.py
@@ -4,11 +4,13 @@
 import itertools
 
 from tests.gateway import target_standin as standin
+from tests.gateway.broken_answers import unmarked
 from tests.gateway.target_standin import TargetStandIn
 
 FATAL = b'a prompt under which engines end'
 # Time from an engine's end to its next life, and of work before the end.
 BACK_SECONDS = 0.5
+PIECES = 3
 BEFORE_END_SECONDS = 0.03
 
 
@@ -25,6 +27,9 @@
         self.arrived = []
         self.served = []
         self.begins_with_head = True
+        # Answers of so many pieces whose end only the connection marks, one in
+        # so many; none by default.
+        self.unmarked_every = 0
         self._numbers = itertools.count(1)
         self._lives = {}
 
@@ -64,8 +69,12 @@
     async def _script(self, target, request, writer):
         if not self._is_fatal(request):
             self.served.append(request)
-            if target.service == 'model':
-                return await standin.stream(3)(target, request, writer)
+            if self.unmarked_every and not (
+                len(self.served) % self.unmarked_every
+            ):
+                return await unmarked(PIECES)(target, request, writer)
+            if target.service.startswith('model'):
+                return await standin.stream(PIECES)(target, request, writer)
             return await standin.serve_plain(target, request, writer)
         self.arrived.append(request)
         target.executed.append(request)
--- a/tests/gateway/soak_endings.py
+++ b/tests/gateway/soak_endings.py
@@ -1,5 +1,9 @@
 """Soak hosts while callers send requests under which engines end.
 
+Two requests end engines whenever they come, and so does a part of prompts
+that are otherwise new. Some answers end with their connection, and engines
+that end break others off.
+
     python -m tests.gateway.soak_endings --first 1 --count 50 --seconds 8
 
 All faults of the other soak come as well: hosts that know are killed, frozen
@@ -11,14 +15,18 @@
 import threading
 import time
 
+from tests.gateway.broken_answers import events
 from tests.gateway.deployment import ask, route
-from tests.gateway.ending_targets import FATAL, EndingTargets
+from tests.gateway.ending_targets import FATAL, PIECES, EndingTargets
 from tests.gateway.soak import HOSTS, Soak, main
 
 BRITTLE = 'model-brittle'
 PATH = '/brittle/x'
 ENGINES = ('north-1', 'north-1', 'north-1', 'south-1', 'south-1')
 CULPRITS = 2
+BAD_PART = 'bad'
+PART_CALLERS = 1
+UNMARKED_EVERY = 3
 CROWD = 4
 ASK_SECONDS = 2
 # What is promised: so long after three engines have ended under a request,
@@ -39,7 +47,10 @@
         )
         self.services = (*self.services, BRITTLE)
         self.bodies = [FATAL + b' %d' % number for number in range(CULPRITS)]
-        self.engines = EndingTargets(self.deployment, fatal=self.bodies)
+        self.engines = EndingTargets(
+            self.deployment, fatal=self.bodies, fatal_parts=(BAD_PART,)
+        )
+        self.engines.unmarked_every = UNMARKED_EVERY
 
     def _start(self):
         super()._start()
@@ -47,38 +58,78 @@
             self.engines.add(data_centre, BRITTLE)
 
     def _soak(self):
-        senders = [*self.bodies, *(None for _ in range(CROWD))]
-        for body in senders:
-            seed = self.random.random()
-            thread = threading.Thread(target=self._send, args=[body, seed])
+        senders = [(body, False) for body in self.bodies]
+        senders += [(None, False)] * CROWD + [(None, True)] * PART_CALLERS
+        for body, is_bad in senders:
+            args = [body, is_bad, self.random.random()]
+            thread = threading.Thread(target=self._send, args=args)
             thread.start()
             self._threads.append(thread)
-            self.faults['culprits' if body else 'crowd'] += 1
+            self.faults['culprits' if body or is_bad else 'crowd'] += 1
         super()._soak()
 
-    def _send(self, fatal, seed):
+    def _send(self, fatal, is_bad, seed):
         source = random.Random(seed)
         while not self._is_over.is_set():
-            body = fatal or b'innocent %d' % source.randrange(10**9)
+            number = source.randrange(10**9)
+            body = fatal or b'innocent %d' % number
+            part = BAD_PART if is_bad else f'doc{number % 3}'
             name = source.choice(sorted(HOSTS))
-            status = self._ask(name, body)
-            if status == 429 and not fatal:
+            status = self._ask(name, body, f'sys:90,{part}:50,{number:x}:20')
+            if status == 429 and not fatal and not is_bad:
                 self.problems.append(f'{name} refused what only ran beside')
             time.sleep(source.uniform(0.02, 0.2))
 
-    def _ask(self, name, body):
+    def _ask(self, name, body, prefix='sys:90,1:20'):
         place = self.deployment.hosts[name].callers
+        headers = [('Prompt-Prefix', prefix), ('Token-Usage', '160,9')]
         try:
-            answer = ask(place, PATH, 'POST', body=body, seconds=ASK_SECONDS)
+            answer = ask(
+                place,
+                PATH,
+                'POST',
+                headers=headers,
+                body=body,
+                seconds=ASK_SECONDS,
+            )
         except OSError:
             return 0
+        self._check_answer(answer)
         return answer.status
 
+    def _check_answer(self, answer):
+        if answer.status != 200 or not answer.is_whole:
+            return
+        if answer.body == events(1, PIECES):
+            return
+        is_claimed = {'transfer-encoding', 'content-length'} & set(
+            answer.headers
+        )
+        if is_claimed or not answer.body.endswith(b'\n\n'):
+            self.problems.append(f'framed as complete: {answer.body!r}')
+
     def _recover(self):
         super()._recover()
         time.sleep(NEWS_SECONDS)
         for body in self.bodies:
             self._check_quarantine(body)
+        self._check_part()
+
+    def _check_part(self):
+        before = self._arrived_with_part()
+        for number in range(LAST_SENDS * len(HOSTS)):
+            name = sorted(HOSTS)[number % len(HOSTS)]
+            prefix = f'sys:90,{BAD_PART}:50,{number:x}:20'
+            self._ask(name, b'last %d' % number, prefix)
+        more = self._arrived_with_part() - before
+        if before >= MORE_SENDS and more > MORE_SENDS:
+            self.problems.append(
+                f'a part had ended engines {before} times '
+                f'and was sent {more} times more'
+            )
+
+    def _arrived_with_part(self):
+        return sum(one.body not in self.bodies for one in self.engines.arrived)
 
     def _check_quarantine(self, body):
         before = self._arrived(body)
--- a/tests/gateway/test_prompt_parts.py
+++ b/tests/gateway/test_prompt_parts.py
@@ -225,3 +225,16 @@
         names = [f'{number}-{one}' for one in range(32)]
         harness.serve('i-8', *names)
     assert len(parts._borne_at) == prompt_parts.MAX_SOUND_PARTS
+
+
+def test_request_that_crashes_targets_does_not_get_its_parts_refused(harness):
+    """Guards against refusing what a bad request shares with sound ones."""
+    request = harness.request(SYSTEM)
+    for number in range(3):
+        target = harness.scene.targets.find(f'i-{number}')
+        attempt = harness.detector.start_attempt(request, target, lambda: None)
+        attempt.record_activity(harness.clock)
+        harness.crash(f'i-{number}', attempt)
+    harness.clock.advance(PART_DELAY_SECONDS)
+    assert harness.quarantine.refusal(request) is not None
+    assert not harness.is_refused(SYSTEM)
