--- a/jacinthfold/quarantine/suspects.py
+++ b/jacinthfold/quarantine/suspects.py
@@ -11,6 +11,7 @@
 
 from jacinthfold import logs
 from jacinthfold.clock import Clock
+from jacinthfold.placement.resume_guard import ResumeGuard
 from jacinthfold.quarantine.crashes import (
     RETENTION_SECONDS,
     RUNNING_WEIGHT,
@@ -30,6 +31,8 @@
 # A part of prompts is refused no sooner after its first crash: answers that
 # other targets have begun show meanwhile whether they bear it.
 PART_DELAY_SECONDS = 1.5
+# After a longer pause of this host, its view of parts may be out of date.
+MAX_PAUSE_SECONDS = 0.7
 EXPIRY_CHECK_SECONDS = 5.0
 # 4,096 entries of three crashes take some 2 MB. Entries with the least weight
 # are dropped first, the oldest of these before others: a flood of bodies with
@@ -62,6 +65,7 @@
         self._suspects: dict[str, Suspect] = {}
         # Enough weight to be refused, unless others explain their crashes.
         self._over_threshold: set[str] = set()
+        self._resume_guard = ResumeGuard(clock, MAX_PAUSE_SECONDS)
         # Those whose refusal was logged.
         self._announced: set[str] = set()
         self._expired_at = clock.monotonic()
@@ -174,6 +178,7 @@
 
     def expire_if_due(self) -> None:
         """Drop old entries if due; call it several times a second."""
+        self._resume_guard.tick()
         if self._clock.monotonic() - self._expired_at > EXPIRY_CHECK_SECONDS:
             self._expire()
 
@@ -280,8 +285,9 @@
         self.refused_seconds(fingerprint)
 
     def _may_be_cleared(self, suspect: Suspect) -> bool:
+        # A host that was frozen may have missed what cleared a part.
         since = self._clock.monotonic() - suspect.suspected_at
-        return since < PART_DELAY_SECONDS
+        return since < PART_DELAY_SECONDS or self._resume_guard.is_resuming()
 
     def _announce(self, fingerprint: str, suspect: Suspect) -> None:
         if fingerprint in self._announced:
--- a/tests/gateway/test_prompt_parts.py
+++ b/tests/gateway/test_prompt_parts.py
@@ -238,3 +238,14 @@
     harness.clock.advance(PART_DELAY_SECONDS)
     assert harness.quarantine.refusal(request) is not None
     assert not harness.is_refused(SYSTEM)
+
+
+def test_host_that_was_frozen_waits_for_news_before_it_refuses_a_part(harness):
+    """Guards against a refusal of what others have cleared meanwhile."""
+    suspects = harness.quarantine.suspects
+    suspects.expire_if_due()
+    harness.crash_under(3, SYSTEM)
+    harness.clock.advance(PART_DELAY_SECONDS + 2)
+    assert harness.quarantine.refusal(harness.request(SYSTEM)) is None
+    suspects.expire_if_due()
+    assert harness.quarantine.refusal(harness.request(SYSTEM)) is None
