--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -12,12 +12,14 @@
 import time
 from pathlib import Path
 
+from tools.ablations.answers import ANSWER_ENDS
 from tools.ablations.decisions import DECISIONS
 from tools.ablations.fleet import LARGE_FLEETS
 from tools.ablations.gateway import GATEWAY_HOSTS
 from tools.ablations.leaving import LEAVING, PEER_INPUT
 from tools.ablations.model import Ablation
 from tools.ablations.organisations import ORGANISATIONS
+from tools.ablations.parts import PROMPT_PARTS
 from tools.ablations.places import PLACES
 from tools.ablations.quarantine import QUARANTINE
 from tools.ablations.restored import RESTORED
@@ -41,6 +43,8 @@
     *WAITING,
     *RESTORED,
     *STREAMS,
+    *ANSWER_ENDS,
+    *PROMPT_PARTS,
 ]
 
 
--- /dev/null
+++ b/tools/ablations/answers.py
@@ -0,0 +1,79 @@
+"""Safeguards of answers whose end only their connection marks."""
+
+from tools.ablations.model import Ablation
+
+ANSWERS = 'tests/gateway/test_answers_without_length.py::'
+
+ANSWER_ENDS = [
+    Ablation(
+        'answers: a stream that ends inside an event is broken off',
+        [
+            (
+                'proxy/delivery.py',
+                'if splitter.is_inside_event and _has_events(head):',
+                'if False:',
+            ),
+        ],
+        ANSWERS
+        + 'test_stream_broken_inside_an_event_is_not_framed_as_complete[False]',
+    ),
+    Ablation(
+        'answers: an unmarked end is passed on unmarked',
+        [
+            (
+                'proxy/delivery.py',
+                'return request.is_relayed or head.body_end is not BodyEnd.CONNECTION',
+                'return True',
+            ),
+        ],
+        ANSWERS
+        + 'test_stream_whose_end_is_not_known_is_not_framed_as_complete[/chat/1]',
+    ),
+    Ablation(
+        'answers: hosts tell each other that an end was not marked',
+        [
+            (
+                'proxy/delivery.py',
+                '            relay_header.take_end(head)\n',
+                '',
+            ),
+        ],
+        ANSWERS
+        + 'test_relayed_answer_whose_end_is_not_known_is_not_framed_as_complete',
+    ),
+    Ablation(
+        'answers: a stream that promised its end is left open without one',
+        [
+            (
+                'proxy/delivery.py',
+                'if self._response.promises_end and head.body_end is',
+                'if False and head.body_end is',
+            ),
+        ],
+        ANSWERS
+        + 'test_stream_that_promised_an_end_is_left_open_if_none_is_known',
+    ),
+    Ablation(
+        'answers: a connection that this host ends is no end of an answer',
+        [
+            (
+                'transport/channel.py',
+                "raise ConnectionLostError('closed by this host')",
+                "return b''",
+            ),
+        ],
+        ANSWERS + 'test_connection_that_this_host_ends_is_no_end_of_an_answer',
+    ),
+    Ablation(
+        'answers: a broken answer without chunks ends by a reset',
+        [
+            (
+                'proxy/caller_response.py',
+                'if self._ends_with_connection:',
+                'if False:',
+            ),
+        ],
+        ANSWERS
+        + 'test_broken_stream_looks_broken_to_callers_of_each_version[1.0]',
+    ),
+]
