Drop the headers between hosts from targets' answers

Found beside the first matter: a target behind a relay that sends jacinthfold-outcome: not_run with its answer made the host of the other region take a request that had run for one that had not, and send it again, also one that may run once. Only the relay's own words pass now.

--- a/jacinthfold/proxy/delivery.py
+++ b/jacinthfold/proxy/delivery.py
@@ -101,6 +101,9 @@
         if self.is_peer:
             self.peer_version = relay_header.take_version(head)
             relay_header.take_end(head)
+        else:
+            # A relay would take a target's words for those of its host.
+            head.headers = relay_header.without_internal(head.headers)
         self._progress.answer_end.body_end = head.body_end
         return head
 
--- a/tests/gateway/test_answers_without_length.py
+++ b/tests/gateway/test_answers_without_length.py
@@ -15,6 +15,7 @@
 from tests.gateway import target_standin as standin
 from tests.gateway.broken_answers import ask, events, set_scripts
 from tests.gateway.deployment import route, wait_served
+from tests.gateway.http_server import Reply
 
 HALF = b'id: 4\ndata: pie'
 
@@ -272,3 +273,22 @@
     relay_header.take_end(head)
     assert head.body_end is BodyEnd.CONNECTION
     assert head.headers == []
+
+
+def test_targets_cannot_speak_for_the_host_that_relays(far_engines):
+    """Guards against a target that tells another host "not run" after a run."""
+    for target in far_engines.targets.values():
+        target.script = claim_not_run
+        target.executed.clear()
+    answer = ask(far_engines, '/desk/1')
+    assert answer.status == 200
+    assert 'jacinthfold-outcome' not in answer.headers
+    assert sum(len(one.executed) for one in far_engines.targets.values()) == 1
+
+
+async def claim_not_run(target, request, writer):
+    """Answer, with the header by which hosts tell that nothing ran."""
+    target.executed.append(request)
+    headers = [*standin.echoed(request), ('Jacinthfold-Outcome', 'not_run')]
+    writer.write(Reply(200, headers, b'done').wire())
+    return True
