Don't let a common part explain a request that crashes targets

A part was over the threshold at more crashes, one of which was the request's too, so that one was held for explained; it was refused after one crash more than it should (weight=8, fresh=4 in its line). Before parts were counted, only requests explained each other.

A request that had just begun at three crashes itself isn't explained by a part. The test failed before, and its ablation fails.

--- a/jacinthfold/quarantine/suspects.py
+++ b/jacinthfold/quarantine/suspects.py
@@ -343,6 +343,9 @@
         if is_part(other):
             return likelier[1].seen_count < suspected[1].seen_count
         return likelier[1].no_output_count >= REFUSAL_CRASHES
+    if is_part(other) and suspected[1].no_output_count >= REFUSAL_CRASHES:
+        # The common part may be present at all of its crashes.
+        return False
     # A long stream that is resumed or retried beside the culprit may be present
     # at three crashes as well. The likelier culprit is the request that more
     # often had no output yet.
--- a/tests/gateway/test_prompt_parts.py
+++ b/tests/gateway/test_prompt_parts.py
@@ -249,3 +249,19 @@
     assert harness.quarantine.refusal(harness.request(SYSTEM)) is None
     suspects.expire_if_due()
     assert harness.quarantine.refusal(harness.request(SYSTEM)) is None
+
+
+def test_common_part_does_not_explain_a_request_that_crashes_targets(harness):
+    """Guards against a part and a request that excuse each other."""
+    harness.crash_under(3, SYSTEM)
+    request = harness.request(SYSTEM)
+    for number in range(3, 6):
+        target = harness.scene.targets.find(f'i-{number}')
+        attempt = harness.detector.start_attempt(request, target, lambda: None)
+        attempt.record_activity(harness.clock)
+        harness.crash(f'i-{number}', attempt)
+    harness.clock.advance(PART_DELAY_SECONDS)
+    parts = harness.detector.parts.fingerprints_of(request, '')
+    assert harness.quarantine.suspects.get(next(iter(parts))) is not None
+    fingerprint = harness.quarantine._fingerprints.of(request)
+    assert fingerprint in harness.quarantine.suspects.refused()
--- a/tools/ablations/parts.py
+++ b/tools/ablations/parts.py
@@ -81,6 +81,18 @@
         PARTS
         + 'test_request_that_crashes_targets_does_not_get_its_parts_refused',
     ),
+    Ablation(
+        'parts: a part does not explain a request that crashes targets',
+        [
+            (
+                'quarantine/suspects.py',
+                'if is_part(other) and suspected[1].no_output_count >= REFUSAL_CRASHES:',
+                'if False:',
+            ),
+        ],
+        PARTS
+        + 'test_common_part_does_not_explain_a_request_that_crashes_targets',
+    ),
     Ablation(
         'parts: a refusal is for a version of the software',
         [
