Log which silence ended an answer, and why no attempt followed

The record of the incident can't tell whether an answer that was given up still came, nor why nothing took its place. answer_given_up names the phase, the limit, how long this answer and its sender had been silent; request_not_served says what ruled out another attempt (route, budget, a rejected placement); a counter by phase.

--- a/jacinthfold/proxy/attempts.py
+++ b/jacinthfold/proxy/attempts.py
@@ -12,7 +12,7 @@
 from jacinthfold.placement.latency_model import LatencySample
 from jacinthfold.placement.regions import RegionView, RemoteRegion
 from jacinthfold.placement.target import Target
-from jacinthfold.proxy import in_flight_load, relay_header
+from jacinthfold.proxy import in_flight_load, relay_header, request_log
 from jacinthfold.proxy.caller_response import CallerResponse
 from jacinthfold.proxy.delivery import Delivery
 from jacinthfold.proxy.metrics import ProxyMetrics
@@ -306,6 +306,7 @@
         except ProxyError as error:
             return delivery.broken_outcome(error)
         except TimeoutError:
+            self._record_silence(endpoint, request, delivery)
             return delivery.broken_outcome(ProxyError('silent'))
         finally:
             delivery.record_end()
@@ -339,6 +340,14 @@
         await exchange.read_body(delivery.limit_bytes)
         return outcome
 
+    def _record_silence(
+        self, endpoint: Endpoint, request: Request, delivery: Delivery
+    ) -> None:
+        phase = delivery.phase
+        self._metrics.silences.labels(request.service_name, phase).inc()
+        now = self._clock.monotonic()
+        request_log.log_silence(request, endpoint, delivery, now)
+
     def _release(self, endpoint: Endpoint, exchange: Exchange) -> None:
         # A connection whose request was abandoned may still deliver its
         # response, which no other request may receive.
--- a/jacinthfold/proxy/delivery.py
+++ b/jacinthfold/proxy/delivery.py
@@ -49,6 +49,8 @@
         self._clock = clock
         self.limit_bytes = MAX_BUFFERED_BODY_BYTES
         self.first_event_at = 0.0
+        # When the request was sent or bytes of its response last arrived.
+        self.last_bytes_at = 0.0
         # Only entry hosts may report an outcome by the internal header: from a
         # target, it could make a request that ran look as if it had not.
         self.is_peer = False
@@ -62,6 +64,7 @@
         self.on_begin: Callable[[], None] = _ignore_activity
         self.channel: Channel | None = None
         self._is_withdrawn = False
+        self._has_head = False
         self.on_first_event: Callable[[], None] | None = None
         self.on_activity: Callable[[], None] = _ignore_activity
         self.on_head: Callable[[ResponseHead], None] = _ignore_head
@@ -73,9 +76,27 @@
         """Return why the request may not be sent now, or an empty string."""
         return self._progress.rejection_reason() or self.target_rejection()
 
+    @property
+    def phase(self) -> str:
+        """Return how far the response has come."""
+        if self.first_event_at:
+            return 'events'
+        return 'body' if self._has_head else 'head'
+
+    @property
+    def sender_silent_seconds(self) -> float:
+        """Return for how long the sender has sent no bytes at all."""
+        return self._timeout.sender_silent_seconds()
+
+    @property
+    def limit_seconds(self) -> float | None:
+        """Return the silence after which the response is given up."""
+        return self._chunk_timeout_seconds()
+
     def mark_in_flight(self) -> None:
         """Record that the request's first byte is about to be sent."""
         self._progress.is_in_flight = True
+        self.last_bytes_at = self._clock.monotonic()
         self._progress.answer_end = AnswerEnd()
 
     def record_end(self) -> None:
@@ -96,7 +117,8 @@
         head = await self._timeout.wait(
             exchange.read_head(), self._timeout.soft_timeout_seconds
         )
-        self.on_activity()
+        self._has_head = True
+        self._record_activity()
         self.on_head(head)
         if self.is_peer:
             self.peer_version = relay_header.take_version(head)
@@ -141,7 +163,7 @@
             chunk = await self._timeout.wait(
                 exchange.read_chunk(), self._chunk_timeout_seconds()
             )
-            self.on_activity()
+            self._record_activity()
             if chunk is None:
                 break
             await self._forward_events(splitter.feed(chunk), head)
@@ -198,6 +220,10 @@
         gap = self._request.route.gap_objective_seconds
         return max(GAP_TIMEOUT_FACTOR * gap, MIN_GAP_TIMEOUT_SECONDS)
 
+    def _record_activity(self) -> None:
+        self.last_bytes_at = self._clock.monotonic()
+        self.on_activity()
+
     def _may_retry(self) -> bool:
         route = self._request.route
         if route.retry_policy is RetryPolicy.NEVER:
--- a/jacinthfold/proxy/forwarding.py
+++ b/jacinthfold/proxy/forwarding.py
@@ -102,6 +102,7 @@
         """Admit, place and send once; return whether to attempt again."""
         choice = await self.placement.choose(request, progress)
         if choice is None:
+            progress.not_retried = progress.reason
             return False
         if isinstance(choice, Reject):
             self._rejection_lines.log(request, choice)
@@ -111,8 +112,10 @@
                 resumed_by = _resumed_by(request, response)
                 self._count_resumed(request, resumed_by, choice.reason)
             progress.record_placement_rejection(choice)
+            progress.not_retried = choice.reason
             return False
         if not self._may_send(request, progress):
+            progress.not_retried = 'budget'
             return False
         return await self._try_once(request, response, progress, choice)
 
@@ -137,7 +140,10 @@
             self._record_served(request, response)
             return False
         request_log.log_failure(request, progress, outcome)
-        return self._may_retry(request, progress, outcome, response)
+        may_retry = self._may_retry(request, progress, outcome, response)
+        if not may_retry:
+            progress.not_retried = 'route'
+        return may_retry
 
     def _count_resumed(
         self, request: Request, resumed_by: str, ending: str
@@ -282,6 +288,7 @@
             or progress.answer_end.reason
             or 'caller_left',
             after_seconds=progress.after_seconds,
+            not_retried=progress.not_retried if progress.sends else '',
             **fields,
         )
 
--- a/jacinthfold/proxy/metrics.py
+++ b/jacinthfold/proxy/metrics.py
@@ -125,6 +125,12 @@
             ['service', 'by', 'ending'],
             registry=self.registry,
         )
+        self.silences = Counter(
+            'jacinthfold_gateway_silent_answers_total',
+            'Attempts given up without a sign of their answer, by its phase',
+            ['service', 'phase'],
+            registry=self.registry,
+        )
         self.answers = Counter(
             'jacinthfold_gateway_answers_total',
             'Responses of targets and regions by what marked their end',
--- a/jacinthfold/proxy/progress.py
+++ b/jacinthfold/proxy/progress.py
@@ -63,6 +63,7 @@
         'is_past_deadline',
         'last_event_id',
         'last_destination',
+        'not_retried',
         'permit',
         'reason',
         'refusal_status',
@@ -86,6 +87,8 @@
         # From the complete request to its first event, None before that.
         self.first_event_seconds: float | None = None
         self.reason = ''
+        # Why no attempt followed the last one, '' if one did.
+        self.not_retried = ''
         # Whether an attempt is running whose outcome is unknown.
         self.is_in_flight = False
         self.ending: Ending | None = None
--- a/jacinthfold/proxy/request_log.py
+++ b/jacinthfold/proxy/request_log.py
@@ -2,10 +2,12 @@
 
 from jacinthfold import logs
 from jacinthfold.placement.decision import Choice, Reject, RelayTo, SendTo
+from jacinthfold.proxy.delivery import Delivery
 from jacinthfold.proxy.outcome import Outcome
 from jacinthfold.proxy.progress import QUARANTINED, Progress
 from jacinthfold.quarantine.quarantine import Refusal
 from jacinthfold.request.messages import Request
+from jacinthfold.transport.pool import Endpoint
 
 # Callers make up identifiers of any length.
 MAX_LOGGED_ID_CHARACTERS = 64
@@ -80,6 +82,22 @@
     )
 
 
+def log_silence(
+    request: Request, endpoint: Endpoint, delivery: Delivery, now: float
+) -> None:
+    """Log that an attempt is given up since its answer doesn't go on."""
+    logs.warning(
+        'answer_given_up',
+        request=request.facts.request_id,
+        at=endpoint[2],
+        phase=delivery.phase,
+        silent_seconds=now - delivery.last_bytes_at,
+        sender_silent_seconds=delivery.sender_silent_seconds,
+        limit_seconds=delivery.limit_seconds,
+        relayed=request.is_relayed,
+    )
+
+
 def log_quarantined(request: Request, refusal: Refusal) -> None:
     """Log that a request is rejected for crashing targets."""
     logs.event(
--- a/jacinthfold/proxy/response_timeout.py
+++ b/jacinthfold/proxy/response_timeout.py
@@ -47,6 +47,10 @@
         """Return the monotonic time that waits are measured with."""
         return self._clock.monotonic()
 
+    def sender_silent_seconds(self) -> float:
+        """Return for how long no answer of the sender has brought bytes."""
+        return self._clock.monotonic() - self._last_activity_at()
+
     async def wait(
         self,
         awaitable: Coroutine[Any, Any, Result],
