--- a/jacinthfold/proxy/attempts.py
+++ b/jacinthfold/proxy/attempts.py
@@ -343,8 +343,8 @@
     def _record_silence(
         self, endpoint: Endpoint, request: Request, delivery: Delivery
     ) -> None:
-        phase = delivery.phase
-        self._metrics.silences.labels(request.service_name, phase).inc()
+        given_up = self._metrics.answers.given_up
+        given_up.labels(request.service_name, delivery.phase).inc()
         now = self._clock.monotonic()
         request_log.log_silence(request, endpoint, delivery, now)
 
@@ -365,7 +365,9 @@
         self._metrics.attempts.labels(service, ending).inc()
         body_end = progress.answer_end.body_end
         if body_end is not None:
-            self._metrics.answers.labels(service, body_end.value, ending).inc()
+            self._metrics.answers.ends.labels(
+                service, body_end.value, ending
+            ).inc()
 
     def _update_target(
         self,
--- a/jacinthfold/proxy/metrics.py
+++ b/jacinthfold/proxy/metrics.py
@@ -81,6 +81,25 @@
         )
 
 
+class AnswerMetrics:
+    """Hold the counters of the answers of targets and regions."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        """Register the counters."""
+        self.ends = Counter(
+            'jacinthfold_gateway_answers_total',
+            'Responses of targets and regions by what marked their end',
+            ('service', 'body_end', 'ending'),
+            registry=registry,
+        )
+        self.given_up = Counter(
+            'jacinthfold_gateway_answers_given_up_total',
+            'Answers given up since they did not go on, by their phase',
+            ('service', 'phase'),
+            registry=registry,
+        )
+
+
 class ProxyMetrics:
     """Hold the metrics in their own registry."""
 
@@ -125,18 +144,7 @@
             ['service', 'by', 'ending'],
             registry=self.registry,
         )
-        self.silences = Counter(
-            'jacinthfold_gateway_silent_answers_total',
-            'Attempts given up without a sign of their answer, by its phase',
-            ['service', 'phase'],
-            registry=self.registry,
-        )
-        self.answers = Counter(
-            'jacinthfold_gateway_answers_total',
-            'Responses of targets and regions by what marked their end',
-            ['service', 'body_end', 'ending'],
-            registry=self.registry,
-        )
+        self.answers = AnswerMetrics(self.registry)
         self.places = PlaceMetrics(self.registry)
         self.quarantined = Counter(
             'jacinthfold_gateway_requests_quarantined_total',
