--- a/tests/gateway/silent_targets.py
+++ b/tests/gateway/silent_targets.py
@@ -18,7 +18,7 @@
 
 
 class SilentTargets:
-    """Hold back what chosen targets read and send, as a stopped process does."""
+    """Hold back what targets read and send, as a stopped process does."""
 
     def __init__(self, deployment):
         self._deployment = deployment
