Let the test of hosts that ask take streams up until one does

It failed once. Of five other hosts three are told where a stream began, chosen by its random identifier, and the test took up one stream at each: that all five had been told comes about in 0.6^5 = 8 of 100 runs. It now goes on, 40 streams at most, until a host asks; every stream is checked as before.

--- a/tests/gateway/test_streams_taken_up.py
+++ b/tests/gateway/test_streams_taken_up.py
@@ -207,13 +207,15 @@
     streams.add_targets(deployment, *TARGETS)
     streams.start(deployment, *((name, 'north-1') for name in names))
     streams.set_scripts(deployment, pause_seconds=0.03)
-    for name in names[1:]:
+    # Three of the five others are told of a stream, by its random identifier.
+    for name in names[1:] * 8:
         begun = streams.TakenUp(deployment, 'north-a')
         answer = begun.go_on(name)
         assert answer.status == 200
         assert len(streams.versions_of(begun.first_body, answer.body)) == 1
-    logs = [deployment.hosts[name].log() for name in names]
-    assert any('source=asked' in log for log in logs)
+        if 'source=asked' in deployment.hosts[name].log():
+            return
+    pytest.fail('no host asked another one')
 
 
 def test_streams_go_on_after_half_of_the_hosts_were_killed(deployment):
