Give a silent answer up only when another target has taken its request

What callers saw: streams that end after status 200 and some events, when sound targets were silent for a second and several streams fell silent at once.

Cause: hosts asked whether another attempt was possible (a free retry, a target), gave the answer up, and only then tried to get the retry and the target. All streams that were silent together saw the same free retry and target. What the next one said was known after the first was gone.

Now the next attempt begins while the silent one is open. It has its permit and its retry before it is sent, and takes over once its target hasn't turned it away: for a stream after 0.3 s, since it may run at two targets for 0.4 s; for a call with the head of an answer that isn't a failure. If the first answer goes on before that, the next one is withdrawn. Work doesn't go to targets that are silent themselves, nor to any of a service whose targets with work are all silent. A host that relays waits 0.5 s longer than its neighbour beside the target; a neighbour without a target that answers refuses a moved stream at once.

Attempts is split by where it sends; Forwarder's failure responses and retry rules have modules of their own.

--- a/jacinthfold/gateway/node.py
+++ b/jacinthfold/gateway/node.py
@@ -151,17 +151,15 @@
             view.pool,
             view.hosts,
             view.regions,
-            view.budgets,
             adapter.dialect,
             self.metrics,
             view.quarantine.crash_detector,
             self._clock,
         )
-        attempts.on_begin = self._origins.record_begin
-        attempts.on_first_event = view.placer.record_first_event
-        attempts.has_alternative = view.placer.has_alternative
+        attempts.hooks.on_begin = self._origins.record_begin
+        attempts.outcomes.on_first_event = view.placer.record_first_event
         view.placer.on_answer_lag = self.metrics.set_answer_lag
-        attempts.refuses_version = view.quarantine.refuses_version
+        attempts.hooks.refuses_version = view.quarantine.refuses_version
         return attempts
 
     def _listener(
--- a/jacinthfold/placement/choice.py
+++ b/jacinthfold/placement/choice.py
@@ -119,15 +119,17 @@
             request, best, (), (), is_retry=False, is_waiting=is_waiting
         )
 
-    def has_alternative(
+    def choose_next(
         self,
         request: Request,
         tried: Collection[str],
         tried_regions: Collection[str],
-    ) -> bool:
-        """Tell whether a request could be sent elsewhere now."""
-        choice = self.choose(request, tried, tried_regions, is_waiting=True)
-        return not isinstance(choice, Reject)
+    ) -> Choice:
+        """Return where a request goes on that a silent target still holds."""
+        silent = self._targets.silent(request.service_name, self._region)
+        return self.choose(
+            request, {*tried, *silent}, tried_regions, is_waiting=True
+        )
 
     def record_sent(self, choice: SendTo, request: Request) -> None:
         """Count a request that is sent to a target."""
--- a/jacinthfold/placement/target.py
+++ b/jacinthfold/placement/target.py
@@ -12,6 +12,7 @@
 from jacinthfold.placement.leaving_limit import LeavingLimit
 from jacinthfold.placement.prefix_cache import CachedPrefixes
 from jacinthfold.placement.pushback import Pushback
+from jacinthfold.placement.target_activity import TargetActivity
 from jacinthfold.request.messages import PromptPrefix, ResponseHead
 
 # Weight of the newest answer in the moving averages, and their initial value:
@@ -65,11 +66,11 @@
         '_record_expires_at',
         '_actual_seconds',
         '_call_measured_at',
+        'activity',
         'cold_until',
         'concurrency_limit',
         'failure_rate',
         'freed_count',
-        'last_received_at',
         'on_failure_event',
         'is_removed',
         'is_resuming',
@@ -104,8 +105,7 @@
         # When this host last sent a request while the target was cold.
         self.paced_at = float('-inf')
         self.unreachable_until = 0.0
-        # When this host last received bytes of any answer of the target.
-        self.last_received_at = float('-inf')
+        self.activity = TargetActivity()
         self.failure_rate = FailureRate()
         # Called at each ejection, trial and return.
         self.on_failure_event: Callable[[Target, str], None] = _ignore_event
--- a/jacinthfold/placement/targets.py
+++ b/jacinthfold/placement/targets.py
@@ -81,6 +81,20 @@
         """Return a service's targets in a region."""
         return list(self._by_service.get((service, region), ()))
 
+    def silent(self, service: str, region: str) -> set[str]:
+        """Return the instances in a region that work is not moved to.
+
+        These are the silent targets, and all targets if each of several with
+        requests is silent: the others may be so too.
+        """
+        now = self._clock.monotonic()
+        found = self._by_service.get((service, region), ())
+        busy = [target for target in found if target.own.requests]
+        silent = [one for one in busy if one.activity.is_silent(now)]
+        if len(silent) > 1 and len(silent) == len(busy):
+            silent = list(found)
+        return {target.record.instance for target in silent}
+
     def serving(self, service: str) -> list[Target]:
         """Return a service's targets in all regions."""
         return [
--- a/jacinthfold/proxy/admission.py
+++ b/jacinthfold/proxy/admission.py
@@ -4,12 +4,13 @@
 from http import HTTPStatus
 
 from jacinthfold import logs
+from jacinthfold.organisations.model import Cap
 from jacinthfold.proxy import request_log
 from jacinthfold.proxy.key_gate import KeyGate, KeyRejection
 from jacinthfold.proxy.metrics import ProxyMetrics
 from jacinthfold.proxy.progress import Progress
 from jacinthfold.quarantine.quarantine import Quarantine
-from jacinthfold.quota.permits import Permit, PermitClient
+from jacinthfold.quota.permits import CapRejection, Permit, PermitClient
 from jacinthfold.request.messages import Request
 
 # The directory names hosts with a fresh view of the store; a caller that asks
@@ -76,8 +77,7 @@
         has_permit = request.has_permit and not progress.runs
         if has_permit or self._permits.is_valid(progress.permit):
             return True
-        facts = request.facts
-        cost = organisation.cap.cost(facts.prompt_tokens, facts.output_tokens)
+        cost = _cost(request, organisation.cap)
         response = await self._permits.acquire(organisation.name, cost)
         if isinstance(response, Permit):
             progress.permit = response
@@ -102,6 +102,21 @@
         )
         return False
 
+    async def permit_next(
+        self, request: Request
+    ) -> Permit | CapRejection | None:
+        """Return a permit for one more run, None if it needs none."""
+        organisation = request.organisation
+        if organisation is None or organisation.cap is None:
+            return None
+        return await self._permits.acquire(
+            organisation.name, _cost(request, organisation.cap)
+        )
+
+    def refund(self, permit: Permit | None) -> None:
+        """Give back a permit that no run used."""
+        self._permits.refund(permit)
+
     def release_unused_permit(self, progress: Progress) -> None:
         """Release a permit that no run used."""
         if not progress.is_in_flight:
@@ -128,3 +143,8 @@
             reason=rejection.value,
             knowledge_age_seconds=self.gate.age_seconds,
         )
+
+
+def _cost(request: Request, cap: Cap) -> int:
+    facts = request.facts
+    return cap.cost(facts.prompt_tokens, facts.output_tokens)
--- a/jacinthfold/proxy/admitted_placement.py
+++ b/jacinthfold/proxy/admitted_placement.py
@@ -1,12 +1,14 @@
 """Admit and place a request, which may wait for capacity."""
 
+from collections.abc import Collection
 from functools import partial
 
 from jacinthfold.placement.choice import Placer
-from jacinthfold.placement.decision import Choice, Reject
+from jacinthfold.placement.decision import Choice, Reject, SendTo
 from jacinthfold.proxy.admission import Admission
 from jacinthfold.proxy.progress import Progress
 from jacinthfold.proxy.waiting import Waiting
+from jacinthfold.quota.permits import CapRejection, Permit
 from jacinthfold.request.messages import Request
 
 # Sends of one request that may end as not run before the request is rejected.
@@ -29,12 +31,41 @@
     ) -> Choice | None:
         """Return where a request runs, None if it isn't admitted."""
         choice = await self._choose_now(request, progress)
-        if isinstance(choice, Reject) and self._may_wait(choice, progress):
-            choice = await self._wait(request, progress, choice)
+        # A host before this one holds the silent answer of a moved request.
+        may_wait = not request.is_moved
+        if isinstance(choice, Reject) and may_wait:
+            if self._may_wait(choice, progress):
+                choice = await self._wait(request, progress, choice)
         if choice is not None and not isinstance(choice, Reject):
             self.waiting.record_placed(request)
         return choice
 
+    def choose_next(
+        self,
+        request: Request,
+        progress: Progress,
+        tried: Collection[str],
+        tried_regions: Collection[str],
+    ) -> Choice | None:
+        """Return where a request that is in flight could go on instead."""
+        if self._admission.is_rejected(request, progress):
+            return None
+        return self._placer.choose_next(request, tried, tried_regions)
+
+    async def permit_next(
+        self, request: Request
+    ) -> Permit | CapRejection | None:
+        """Return a permit for one more run, None if it needs none."""
+        return await self._admission.permit_next(request)
+
+    def refund(self, permit: Permit | None) -> None:
+        """Give back a permit that no run used."""
+        self._admission.refund(permit)
+
+    def record_sent(self, choice: SendTo, request: Request) -> None:
+        """Count a request that is sent to a target."""
+        self._placer.record_sent(choice, request)
+
     def record_end(self, request: Request) -> None:
         """Let waiting requests be tried, since an attempt has ended."""
         self.waiting.record_end(request.service_name)
@@ -49,6 +80,9 @@
         # the first to be sent there.
         if not await self._admission.is_permitted(request, progress):
             return None
+        if request.is_moved:
+            # The host before holds its silent answer until this one has begun.
+            return self._placer.choose_next(request, progress.tried, ())
         return self._placer.choose(
             request, progress.tried, progress.tried_regions
         )
--- a/jacinthfold/proxy/delivery.py
+++ b/jacinthfold/proxy/delivery.py
@@ -24,10 +24,6 @@
 # Responses other than streams are buffered until they are complete.
 MAX_BUFFERED_BODY_BYTES = 16777216
 EVENT_STREAM_TYPE = b'text/event-stream'
-# A resumable stream moves to another target after a pause of this many times
-# the longest one that callers accept.
-GAP_TIMEOUT_FACTOR = 3.0
-MIN_GAP_TIMEOUT_SECONDS = 0.9
 
 
 class Delivery:
@@ -47,6 +43,11 @@
         self._progress = progress
         self._timeout = timeout
         self._clock = clock
+        self._answer_end = AnswerEnd()
+        # Whether it was given up since it was silent.
+        self.is_given_up = False
+        # Whether the attempt before it is still open when it begins.
+        self.is_prepared = False
         self.limit_bytes = MAX_BUFFERED_BODY_BYTES
         self.first_event_at = 0.0
         # When the request was sent or bytes of its response last arrived.
@@ -89,20 +90,35 @@
         return self._timeout.sender_silent_seconds()
 
     @property
-    def limit_seconds(self) -> float | None:
-        """Return the silence after which the response is given up."""
-        return self._chunk_timeout_seconds()
+    def silent_seconds(self) -> float:
+        """Return for how long this response has brought no bytes."""
+        return self._clock.monotonic() - self.last_bytes_at
+
+    @property
+    def body_end(self) -> BodyEnd | None:
+        """Return what marks the end of the response, None before its head."""
+        return self._answer_end.body_end
+
+    @property
+    def limit_seconds(self) -> float:
+        """Return the silence after which the request is to move on."""
+        return self._timeout.limit_seconds(has_begun=self.first_event_at > 0)
 
     def mark_in_flight(self) -> None:
         """Record that the request's first byte is about to be sent."""
-        self._progress.is_in_flight = True
         self.last_bytes_at = self._clock.monotonic()
-        self._progress.answer_end = AnswerEnd()
+        if not self.is_prepared:
+            self.take_over()
+
+    def take_over(self) -> None:
+        """Make this the attempt that the caller's response comes from."""
+        self._progress.is_in_flight = True
+        self._progress.answer_end = self._answer_end
 
     def record_end(self) -> None:
         """Record how the connection ended, after the attempt."""
         channel = self.channel
-        self._progress.answer_end.is_orderly = (
+        self._answer_end.is_orderly = (
             channel is not None and channel.has_orderly_end
         )
 
@@ -114,9 +130,7 @@
 
     async def read_head(self, exchange: Exchange) -> ResponseHead:
         """Return the head of the response; raise TimeoutError on silence."""
-        head = await self._timeout.wait(
-            exchange.read_head(), self._timeout.soft_timeout_seconds
-        )
+        head = await self._timeout.wait(exchange.read_head(), has_begun=False)
         self._has_head = True
         self._record_activity()
         self.on_head(head)
@@ -126,7 +140,7 @@
         else:
             # A relay would take a target's words for those of its host.
             head.headers = relay_header.without_internal(head.headers)
-        self._progress.answer_end.body_end = head.body_end
+        self._answer_end.body_end = head.body_end
         return head
 
     async def deliver(self, exchange: Exchange, head: ResponseHead) -> Outcome:
@@ -134,8 +148,7 @@
         if self._request.route.is_stream and head.status == HTTPStatus.OK:
             return await self._deliver_events(exchange, head)
         body = await self._timeout.wait(
-            exchange.read_body(self.limit_bytes),
-            self._timeout.soft_timeout_seconds,
+            exchange.read_body(self.limit_bytes), has_begun=False
         )
         is_failure = head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
         if self._response.has_started or (is_failure and self._may_retry()):
@@ -161,14 +174,14 @@
         splitter = EventSplitter(self._progress.last_event_id)
         while True:
             chunk = await self._timeout.wait(
-                exchange.read_chunk(), self._chunk_timeout_seconds()
+                exchange.read_chunk(), has_begun=self.first_event_at > 0
             )
             self._record_activity()
             if chunk is None:
                 break
             await self._forward_events(splitter.feed(chunk), head)
             self._progress.last_event_id = splitter.last_event_id
-        self._progress.answer_end.partial_event_bytes = len(splitter.incomplete)
+        self._answer_end.partial_event_bytes = len(splitter.incomplete)
         if splitter.is_inside_event and _has_events(head):
             raise ConnectionLostError('the stream ended inside an event')
         await self._forward_events(splitter.incomplete, head)
@@ -176,7 +189,7 @@
             await self._start_response(head)
         if self._response.promises_end and head.body_end is BodyEnd.CONNECTION:
             # The caller's framing can't say that the end is unknown.
-            self._progress.answer_end.is_left_open = True
+            self._answer_end.is_left_open = True
         else:
             await self._response.finish()
         self.is_complete = head.body_end is not BodyEnd.CONNECTION
@@ -213,13 +226,6 @@
             elapsed = self.first_event_at - self._request.received_at
             self._progress.first_event_seconds = elapsed
 
-    def _chunk_timeout_seconds(self) -> float | None:
-        soft_timeout_seconds = self._timeout.soft_timeout_seconds
-        if soft_timeout_seconds is None or not self.first_event_at:
-            return soft_timeout_seconds
-        gap = self._request.route.gap_objective_seconds
-        return max(GAP_TIMEOUT_FACTOR * gap, MIN_GAP_TIMEOUT_SECONDS)
-
     def _record_activity(self) -> None:
         self.last_bytes_at = self._clock.monotonic()
         self.on_activity()
--- a/jacinthfold/proxy/forwarding.py
+++ b/jacinthfold/proxy/forwarding.py
@@ -5,7 +5,6 @@
 from http import HTTPStatus
 
 from jacinthfold import logs
-from jacinthfold.catalogue.model import RetryPolicy
 from jacinthfold.clock import Clock
 from jacinthfold.placement.budget import RetryBudgets
 from jacinthfold.placement.choice import Placer
@@ -18,29 +17,18 @@
 )
 from jacinthfold.proxy.attempts import Attempts
 from jacinthfold.proxy.caller_response import CallerResponse
-from jacinthfold.proxy.delivery import send_whole
+from jacinthfold.proxy.failure_responses import FailureResponses
+from jacinthfold.proxy.handover import Handover
 from jacinthfold.proxy.metrics import ProxyMetrics
 from jacinthfold.proxy.outcome import Ending, Outcome
 from jacinthfold.proxy.progress import Progress
 from jacinthfold.proxy.rejection_lines import RejectionLines
-from jacinthfold.proxy.relay_header import (
-    OUTCOME_NOT_RUN,
-    OUTCOME_UNKNOWN,
-    outcome_header,
-    quarantined_header,
-)
+from jacinthfold.proxy.retry_rules import may_retry
 from jacinthfold.proxy.waiting import Waiting
 from jacinthfold.quarantine.quarantine import Quarantine
-from jacinthfold.request.messages import Headers, Request
+from jacinthfold.request.messages import Request
 from jacinthfold.transport.dialect import Dialect
 
-# Callers honour a Retry-After of at most a third of their remaining time.
-RETRY_AFTER_SHARE = 0.3
-QUARANTINED_BODY = (
-    b'error: not run: targets ended under this request again and again; '
-    b'it is refused until the time given to come back\n'
-)
-
 
 class Forwarder:
     """Serve requests: choose, send, retry where that is allowed, respond."""
@@ -65,10 +53,13 @@
         self._budgets = budgets
         self._quarantine = quarantine
         self._admission = admission
-        self._dialect = dialect
         self._metrics = metrics
         self._clock = clock
         self._rejection_lines = RejectionLines(clock)
+        self._failures = FailureResponses(dialect, clock)
+        attempts.hooks.prepare_next = Handover(
+            self.placement, attempts, budgets, metrics, clock
+        ).prepare
         # Finds where a stream began that its caller takes up again.
         self.resolve_origin: Callable[[Request], Awaitable[None]] = _skip
 
@@ -82,10 +73,18 @@
                 await self._run_attempts(request, response, progress)
         except TimeoutError:
             progress.reason = 'deadline'
-            await self._send_failure(request, response, progress)
+            await self._failures.send(request, response, progress)
         finally:
-            self._admission.release_unused_permit(progress)
-            self._log_outcome(request, response, progress)
+            self._end(request, response, progress)
+
+    def _end(
+        self, request: Request, response: CallerResponse, progress: Progress
+    ) -> None:
+        self._admission.release_unused_permit(progress)
+        prepared = progress.take_prepared()
+        if prepared is not None:
+            self._attempts.withdraw(prepared)
+        self._log_outcome(request, response, progress)
 
     async def _run_attempts(
         self, request: Request, response: CallerResponse, progress: Progress
@@ -94,15 +93,24 @@
         while may_continue:
             may_continue = await self._attempt_next(request, response, progress)
         if progress.ending is not Ending.DELIVERED:
-            await self._send_failure(request, response, progress)
+            await self._failures.send(request, response, progress)
 
     async def _attempt_next(
         self, request: Request, response: CallerResponse, progress: Progress
     ) -> bool:
         """Admit, place and send once; return whether to attempt again."""
+        prepared = progress.take_prepared()
+        if prepared is not None:
+            return await self._try_once(
+                request,
+                response,
+                progress,
+                prepared.choice,
+                self._attempts.run_prepared(prepared),
+            )
         choice = await self.placement.choose(request, progress)
         if choice is None:
-            progress.not_retried = progress.reason
+            progress.next_attempt.missing_reason = progress.reason
             return False
         if isinstance(choice, Reject):
             self._rejection_lines.log(request, choice)
@@ -112,12 +120,18 @@
                 resumed_by = _resumed_by(request, response)
                 self._count_resumed(request, resumed_by, choice.reason)
             progress.record_placement_rejection(choice)
-            progress.not_retried = choice.reason
+            progress.next_attempt.missing_reason = choice.reason
             return False
         if not self._may_send(request, progress):
-            progress.not_retried = 'budget'
+            progress.next_attempt.missing_reason = 'budget'
             return False
-        return await self._try_once(request, response, progress, choice)
+        request_log.log_choice(
+            request, choice, progress, self._clock.monotonic()
+        )
+        attempt = self._attempt(request, response, progress, choice)
+        return await self._try_once(
+            request, response, progress, choice, attempt
+        )
 
     async def _try_once(
         self,
@@ -125,13 +139,12 @@
         response: CallerResponse,
         progress: Progress,
         choice: Choice,
+        attempt: Awaitable[Outcome],
     ) -> bool:
         """Make one attempt; return whether another one may follow."""
-        now = self._clock.monotonic()
-        request_log.log_choice(request, choice, progress, now)
         resumed_by = _resumed_by(request, response)
         try:
-            outcome = await self._attempt(request, response, progress, choice)
+            outcome = await attempt
         finally:
             self.placement.record_end(request)
         progress.record_attempt(choice, outcome)
@@ -140,10 +153,10 @@
             self._record_served(request, response)
             return False
         request_log.log_failure(request, progress, outcome)
-        may_retry = self._may_retry(request, progress, outcome, response)
-        if not may_retry:
-            progress.not_retried = 'route'
-        return may_retry
+        is_retried = may_retry(request, progress, outcome, response)
+        if not is_retried:
+            progress.next_attempt.missing_reason = 'route'
+        return is_retried
 
     def _count_resumed(
         self, request: Request, resumed_by: str, ending: str
@@ -187,82 +200,6 @@
             return False
         return self._budgets.try_spend(request.service_name)
 
-    def _may_retry(
-        self,
-        request: Request,
-        progress: Progress,
-        outcome: Outcome,
-        response: CallerResponse,
-    ) -> bool:
-        if progress.is_quarantined:
-            return False
-        if outcome.ending is Ending.NOT_RUN:
-            return not response.has_started or (
-                request.route.retry_policy is RetryPolicy.RESUMED
-            )
-        if progress.runs >= request.route.max_attempts:
-            return False
-        if response.has_started:
-            return request.route.retry_policy is RetryPolicy.RESUMED
-        return request.route.retry_policy is not RetryPolicy.NEVER
-
-    async def _send_failure(
-        self, request: Request, response: CallerResponse, progress: Progress
-    ) -> None:
-        """Send the final response to a request that was not served."""
-        if response.has_started:
-            return
-        failed = progress.failed_outcome
-        if failed is not None and failed.head is not None:
-            await send_whole(request, response, failed.head, failed.body)
-            return
-        base_headers = self._dialect.gateway_headers(request.facts.request_id)
-        if request.is_relayed:
-            is_unknown = progress.may_have_run
-            base_headers += outcome_header(
-                OUTCOME_UNKNOWN if is_unknown else OUTCOME_NOT_RUN
-            )
-            if progress.is_quarantined:
-                base_headers += quarantined_header()
-        if progress.may_have_run:
-            is_late = progress.reason == 'deadline'
-            status = (
-                HTTPStatus.GATEWAY_TIMEOUT
-                if is_late
-                else HTTPStatus.BAD_GATEWAY
-            )
-            await response.send(status, base_headers, b'')
-            return
-        if progress.is_quarantined:
-            await self._reject_quarantined(response, progress, base_headers)
-            return
-        remaining_seconds = request.deadline - self._clock.monotonic()
-        retry_after_seconds = min(
-            progress.after_seconds,
-            max(0.05, remaining_seconds * RETRY_AFTER_SHARE),
-        )
-        if progress.is_past_deadline:
-            retry_after_seconds = progress.after_seconds
-        status = progress.refusal_status
-        headers = list(base_headers)
-        if status is not HTTPStatus.UNAUTHORIZED:
-            headers += self._dialect.retry_headers(retry_after_seconds)
-        await response.send(status, headers, b'')
-
-    async def _reject_quarantined(
-        self,
-        response: CallerResponse,
-        progress: Progress,
-        base_headers: Headers,
-    ) -> None:
-        # 429 instead of 503: the service is healthy, and only this request must
-        # not be retried. Well-behaved clients honour Retry-After.
-        retry = self._dialect.retry_headers(progress.after_seconds)
-        headers = [*base_headers, *retry, (b'Content-Type', b'text/plain')]
-        await response.send(
-            HTTPStatus.TOO_MANY_REQUESTS, headers, QUARANTINED_BODY
-        )
-
     def _log_outcome(
         self, request: Request, response: CallerResponse, progress: Progress
     ) -> None:
@@ -288,7 +225,9 @@
             or progress.answer_end.reason
             or 'caller_left',
             after_seconds=progress.after_seconds,
-            not_retried=progress.not_retried if progress.sends else '',
+            not_retried=progress.next_attempt.missing_reason
+            if progress.sends
+            else '',
             **fields,
         )
 
--- a/jacinthfold/proxy/metrics.py
+++ b/jacinthfold/proxy/metrics.py
@@ -98,6 +98,12 @@
             ('service', 'phase'),
             registry=registry,
         )
+        self.handovers = Counter(
+            'jacinthfold_gateway_handovers_total',
+            'Tries to move requests of silent targets, by what came of them',
+            ('service', 'result'),
+            registry=registry,
+        )
 
 
 class ProxyMetrics:
--- a/jacinthfold/proxy/progress.py
+++ b/jacinthfold/proxy/progress.py
@@ -2,12 +2,16 @@
 
 from collections.abc import Callable
 from http import HTTPStatus
+from typing import TYPE_CHECKING
 
 from jacinthfold.placement.decision import Choice, Reject, RelayTo, SendTo
 from jacinthfold.proxy.outcome import Ending, Outcome
 from jacinthfold.quota.permits import Permit
 from jacinthfold.request.messages import BodyEnd, Request
 
+if TYPE_CHECKING:
+    from jacinthfold.proxy.sending import PreparedAttempt
+
 DEFAULT_RETRY_AFTER_SECONDS = 0.5
 # The reason of a rejection because targets crashed under the request.
 QUARANTINED = 'quarantined'
@@ -49,6 +53,20 @@
         }
 
 
+class NextAttempt:
+    """Hold what is known of the attempt after the current one."""
+
+    __slots__ = ('is_preparing', 'missing_reason', 'prepared')
+
+    def __init__(self) -> None:
+        """Start without one."""
+        # What takes the place of a silent attempt.
+        self.prepared: 'PreparedAttempt | None' = None
+        self.is_preparing = False
+        # Why none followed the last one, '' if it was served or one did.
+        self.missing_reason = ''
+
+
 class Progress:
     """Track a request across its attempts."""
 
@@ -63,8 +81,8 @@
         'is_past_deadline',
         'last_event_id',
         'last_destination',
-        'not_retried',
         'permit',
+        'next_attempt',
         'reason',
         'refusal_status',
         'runs',
@@ -87,8 +105,6 @@
         # From the complete request to its first event, None before that.
         self.first_event_seconds: float | None = None
         self.reason = ''
-        # Why no attempt followed the last one, '' if one did.
-        self.not_retried = ''
         # Whether an attempt is running whose outcome is unknown.
         self.is_in_flight = False
         self.ending: Ending | None = None
@@ -103,6 +119,7 @@
         # Returns why the request may not be sent now, or ''.
         self.rejection_reason: Callable[[], str] = _no_reason
         self.answer_end = AnswerEnd()
+        self.next_attempt = NextAttempt()
         # Allows one run; None when none is needed or it was used.
         self.permit: Permit | None = None
 
@@ -137,14 +154,8 @@
 
     def record_attempt(self, choice: Choice, outcome: Outcome) -> None:
         """Record how an attempt ended."""
-        self.sends += 1
         self.is_in_flight = False
-        if isinstance(choice, SendTo):
-            self.last_destination = choice.estimate.target.record.instance
-            self.tried.add(self.last_destination)
-        if isinstance(choice, RelayTo):
-            self.last_destination = choice.region.name
-            self.tried_regions.add(choice.region.name)
+        self._record_destination(choice)
         self.reason = outcome.reason
         self.ending = outcome.ending
         if outcome.after_seconds is not None:
@@ -157,6 +168,31 @@
         if outcome.ending is Ending.FAILED:
             self.failed_outcome = outcome
 
+    def record_prepared_end(self, choice: Choice, outcome: Outcome) -> None:
+        """Record how an attempt ended while the one before it goes on."""
+        self._record_destination(choice)
+        if outcome.ending is Ending.NOT_RUN:
+            self.not_run_count += 1
+        else:
+            self.runs += 1
+
+    def take_prepared(self) -> 'PreparedAttempt | None':
+        """Return the attempt that was prepared, which the caller runs."""
+        prepared = self.next_attempt.prepared
+        self.next_attempt.prepared = None
+        if prepared is not None:
+            self.permit = prepared.permit
+        return prepared
+
+    def _record_destination(self, choice: Choice) -> None:
+        self.sends += 1
+        if isinstance(choice, SendTo):
+            self.last_destination = choice.estimate.target.record.instance
+            self.tried.add(self.last_destination)
+        if isinstance(choice, RelayTo):
+            self.last_destination = choice.region.name
+            self.tried_regions.add(choice.region.name)
+
 
 def _no_reason() -> str:
     return ''
--- a/jacinthfold/proxy/request_log.py
+++ b/jacinthfold/proxy/request_log.py
@@ -14,15 +14,22 @@
 
 
 def log_choice(
-    request: Request, choice: Choice, progress: Progress, now: float
+    request: Request,
+    choice: Choice,
+    progress: Progress,
+    now: float,
+    *,
+    is_next: bool = False,
 ) -> None:
     """Log the chosen target or region and its estimate."""
+    # The next attempt is chosen while the one before it has not ended.
+    attempt = progress.sends + 1 + is_next
     if isinstance(choice, SendTo):
         estimate = choice.estimate
         logs.event(
             'request_placed',
             request=request.facts.request_id,
-            attempt=progress.sends + 1,
+            attempt=attempt,
             service=request.service_name,
             target=estimate.target.record.instance,
             software_version=estimate.target.record.software_version,
@@ -41,7 +48,7 @@
         logs.event(
             'request_passed_on',
             request=request.facts.request_id,
-            attempt=progress.sends + 1,
+            attempt=attempt,
             service=request.service_name,
             region=choice.region.name,
             last_event_id=progress.last_event_id,
@@ -83,7 +90,7 @@
 
 
 def log_silence(
-    request: Request, endpoint: Endpoint, delivery: Delivery, now: float
+    request: Request, endpoint: Endpoint, delivery: Delivery
 ) -> None:
     """Log that an attempt is given up since its answer doesn't go on."""
     logs.warning(
@@ -91,7 +98,7 @@
         request=request.facts.request_id,
         at=endpoint[2],
         phase=delivery.phase,
-        silent_seconds=now - delivery.last_bytes_at,
+        silent_seconds=delivery.silent_seconds,
         sender_silent_seconds=delivery.sender_silent_seconds,
         limit_seconds=delivery.limit_seconds,
         relayed=request.is_relayed,
--- a/jacinthfold/quarantine/crash_model.py
+++ b/jacinthfold/quarantine/crash_model.py
@@ -88,7 +88,7 @@
     def record_activity(self, clock: Clock) -> None:
         """Record that data of the response arrived."""
         now = clock.monotonic()
-        self.target.last_received_at = now
+        self.target.activity.received_at = now
         self.is_started = True
         if self.started_at is None:
             self.started_at = now
--- a/jacinthfold/quarantine/prompt_parts.py
+++ b/jacinthfold/quarantine/prompt_parts.py
@@ -109,7 +109,7 @@
     if attempt.is_broken or attempt.incarnation.is_ending:
         return False
     # A target that went silent has not ended for this host yet.
-    heard_at = attempt.target.last_received_at
+    heard_at = attempt.target.activity.received_at
     return attempt.is_complete or heard_at >= begun_at + BORNE_SECONDS / 2
 
 
--- a/jacinthfold/request/messages.py
+++ b/jacinthfold/request/messages.py
@@ -183,6 +183,11 @@
         """Check whether targets of a software version may serve it."""
         return self.origin is None or self.origin.admits(software_version)
 
+    @property
+    def is_moved(self) -> bool:
+        """Check whether another host sends it on in the middle of a stream."""
+        return self.is_relayed and bool(self.facts.last_event_id)
+
     @property
     def is_urgent(self) -> bool:
         """Check whether few requests go before it at a target."""
--- a/tests/gateway/overload.py
+++ b/tests/gateway/overload.py
@@ -12,6 +12,7 @@
 from jacinthfold.placement.retry_schedule import ReturnSchedule
 from jacinthfold.placement.target import Load
 from jacinthfold.proxy.admission import Admission
+from jacinthfold.proxy.attempt_hooks import AttemptHooks
 from jacinthfold.proxy.forwarding import Forwarder
 from jacinthfold.proxy.in_flight_load import InFlightLoad
 from jacinthfold.proxy.key_gate import KeyGate
@@ -116,6 +117,7 @@
 
     def __init__(self, replay):
         self.replay = replay
+        self.hooks = AttemptHooks()
 
     async def send_to_target(self, request, response, progress, estimate):
         target = estimate.target
--- a/tests/gateway/test_permit_order.py
+++ b/tests/gateway/test_permit_order.py
@@ -7,6 +7,7 @@
 from jacinthfold.catalogue.model import RetryPolicy
 from jacinthfold.placement.budget import RetryBudgets
 from jacinthfold.proxy.admission import Admission
+from jacinthfold.proxy.attempt_hooks import AttemptHooks
 from jacinthfold.proxy.forwarding import Forwarder
 from jacinthfold.proxy.key_gate import KeyGate
 from jacinthfold.proxy.metrics import ProxyMetrics
@@ -43,6 +44,7 @@
 
     def __init__(self):
         self.sent = []
+        self.hooks = AttemptHooks()
 
     async def send_to_target(self, request, answer, progress, estimate):
         self.sent.append(request)
--- a/tests/gateway/test_silent_targets.py
+++ b/tests/gateway/test_silent_targets.py
@@ -10,7 +10,11 @@
     wait_streaming,
     whole_events,
 )
+from tools.fleet import wait_until
 
+REVIEW = route(
+    '/review/', 'model', 'stream', resumable=True, **{'timeout-ms': 15000}
+)
 ENGINES = ('i-1', 'i-2', 'i-3', 'i-4')
 STREAMS = 24
 
@@ -19,7 +23,7 @@
 def engines(deployment):
     """Start one host with four engines."""
     deployment.put_routes(
-        route('/review/', 'model', 'stream', resumable=True),
+        REVIEW,
         route('/warm/', 'model', 'idempotent'),
     )
     for name in ENGINES:
@@ -29,16 +33,23 @@
     return deployment
 
 
-def begin_streams(deployment, silence, count=STREAMS, **options):
+def begin_streams(deployment, silence, count=STREAMS, waits=True, **options):
     """Have callers receive streams; return them when all have begun."""
     for target in deployment.targets.values():
         target.executed.clear()
         target.script = silence.script(**options)
     callers = Callers(deployment.hosts['north-a'].callers, '/review/1', count)
-    wait_streaming(deployment.targets.values(), count)
+    if waits:
+        wait_streaming(deployment.targets.values(), count)
     return callers
 
 
+def busiest(deployment):
+    """Return the names of the targets, those with most requests first."""
+    targets = deployment.targets
+    return sorted(targets, key=lambda name: -len(targets[name].executed))
+
+
 def count_whole(callers):
     """Return how many callers got their whole stream, and the others."""
     answers = callers.wait()
@@ -55,12 +66,151 @@
     """Guards against streams given up for targets that have no room."""
     silence = SilentTargets(engines)
     callers = begin_streams(engines, silence)
-    busiest_first = sorted(
-        ENGINES, key=lambda name: -len(engines.targets[name].executed)
-    )
-    for name in busiest_first[2:]:
+    for name in busiest(engines)[2:]:
         engines.targets[name].script = standin.refuse
-    silence.begin(*busiest_first[:2])
+    silence.begin(*busiest(engines)[:2])
+    pause(seconds)
+    silence.end()
+    assert count_whole(callers) == (STREAMS, [])
+
+
+@pytest.mark.parametrize('seconds', [1.3, 2.6])
+def test_all_targets_silent_at_once_lose_no_stream(engines, seconds):
+    """Guards against streams given up with nothing to take their place."""
+    silence = SilentTargets(engines)
+    callers = begin_streams(engines, silence)
+    silence.begin(*ENGINES)
     pause(seconds)
     silence.end()
     assert count_whole(callers) == (STREAMS, [])
+
+
+@pytest.mark.parametrize('phase', ['events', 'inside_event', 'head'])
+def test_stream_of_a_target_that_stays_silent_goes_on_elsewhere(engines, phase):
+    """Guards against streams that wait for a target which never goes on."""
+    silence = SilentTargets(engines)
+    if phase == 'head':
+        silence.begin(ENGINES[0])
+        callers = begin_streams(engines, silence, count=6, waits=False)
+    else:
+        callers = begin_streams(
+            engines, silence, count=6, halves=phase == 'inside_event'
+        )
+        silence.begin(busiest(engines)[0])
+    whole, others = count_whole(callers)
+    silence.end()
+    assert (whole, others) == (6, [])
+
+
+def test_stream_runs_at_two_targets_for_a_moment_only(engines):
+    """Guards against work that goes on at the target that was given up."""
+    silence = SilentTargets(engines)
+    callers = begin_streams(engines, silence)
+    silence.begin(busiest(engines)[0])
+    pause(2.6)
+    silence.end()
+    assert count_whole(callers) == (STREAMS, [])
+    for request_id in callers.answers:
+        spans = sorted(one[2:] for one in silence.spans if one[0] == request_id)
+        for earlier, later in zip(spans, spans[1:], strict=False):
+            # The silent target notices the end when it goes on.
+            assert earlier[1] - later[0] < 2.6
+
+
+def test_answer_that_goes_on_first_is_kept(engines):
+    """Guards against a stream cut since another target was asked for it.
+
+    The others accept the request and say nothing, and the first target goes on
+    0.1 s later.
+    """
+    silence = SilentTargets(engines)
+    callers = begin_streams(engines, silence, count=4)
+    first = busiest(engines)[0]
+    asked = []
+
+    async def hesitate(target, request, writer):
+        asked.append(request)
+        silence.end()
+        return await standin.say_nothing(target, request, writer)
+
+    for name in ENGINES:
+        if name != first:
+            engines.targets[name].script = hesitate
+    silence.begin(first)
+    wait_until(lambda: asked, 'another target is asked')
+    assert count_whole(callers) == (4, [])
+    wait_until(
+        lambda: all(one.is_left for one in asked), 'the others are free again'
+    )
+
+
+def test_silence_of_a_region_keeps_streams_that_another_region_refuses(
+    deployment,
+):
+    """Guards against streams given up for a region that has no room."""
+    deployment.put_routes(
+        REVIEW,
+        route('/warm/', 'model', 'idempotent'),
+    )
+    for name in ENGINES[:2]:
+        deployment.add_target(name, 'model')
+    deployment.add_target('i-south', 'model', 'south-1')
+    first = deployment.start_host('north-a')
+    seeds = f'{first.control[0]}:{first.control[1]}'
+    deployment.start_host('south-a', 'south-1', seeds=seeds)
+    wait_served(deployment, 'north-a', '/warm/x')
+    silence = SilentTargets(deployment)
+    callers = begin_streams(deployment, silence, count=8)
+    deployment.targets['i-south'].script = standin.refuse
+    silence.begin(*ENGINES[:2])
+    pause(3.0)
+    silence.end()
+    assert count_whole(callers) == (8, [])
+
+
+def test_relayed_streams_of_silent_targets_are_whole(deployment):
+    """Guards against a relaying host that gives up before its neighbour."""
+    deployment.put_routes(
+        REVIEW,
+        route('/warm/', 'model', 'idempotent'),
+    )
+    for name in ENGINES[:2]:
+        deployment.add_target(name, 'model', 'south-1')
+    first = deployment.start_host('south-a', 'south-1')
+    seeds = f'{first.control[0]}:{first.control[1]}'
+    deployment.start_host('north-a', seeds=seeds)
+    wait_served(deployment, 'north-a', '/warm/x')
+    silence = SilentTargets(deployment)
+    callers = begin_streams(deployment, silence, count=8)
+    silence.begin(*ENGINES[:2])
+    pause(2.7)
+    silence.end()
+    assert count_whole(callers) == (8, [])
+
+
+def test_calls_of_silent_targets_are_answered(engines):
+    """Guards against calls given up for targets that turn them away."""
+    engines.put_routes(
+        REVIEW,
+        route('/quote/', 'desk', 'idempotent'),
+    )
+    for name in ('d-1', 'd-2'):
+        engines.add_target(name, 'desk')
+    wait_served(engines, 'north-a', '/quote/x', count=4)
+    silence = SilentTargets(engines)
+
+    async def serve(target, request, writer):
+        await silence.wait(target)
+        return await standin.serve_plain(target, request, writer)
+
+    engines.targets['d-1'].script = serve
+    engines.targets['d-2'].script = standin.refuse
+    silence.begin('d-1')
+    callers = Callers(
+        engines.hosts['north-a'].callers, '/quote/1', 4, deadline_seconds=4
+    )
+    pause(1.6)
+    silence.end()
+    answers = callers.wait()
+    assert [one.status for one in answers] == [200] * 4
+    assert all(one.is_whole for one in answers)
--- a/tests/gateway/test_stream_origin.py
+++ b/tests/gateway/test_stream_origin.py
@@ -18,7 +18,7 @@
 from jacinthfold.platform.dialect import PlatformDialect
 from jacinthfold.platform.target_records import read_target
 from jacinthfold.proxy import relay_header
-from jacinthfold.proxy.attempts import Attempts
+from jacinthfold.proxy.region_sends import RegionSends
 from jacinthfold.request.messages import (
     Request,
     RequestFacts,
@@ -324,13 +324,11 @@
     """Guards against a host that ignores where a stream began."""
     scene = Scene()
     other = host('b', 'south', keeps_origins=keeps_origins)
-    attempts = Attempts(
-        None, OneRegion(other), None, None, None, None, None, scene.clock
-    )
+    sends = RegionSends(OneRegion(other), None, None, None, None, scene.clock)
     region = RemoteRegion('south', 0.1, ('b',))
     new = prompt(scene, 'subject')
-    assert attempts._choose_host(new, region) is other
-    chosen = attempts._choose_host(begun(scene), region)
+    assert sends.choose_host(new, region) is other
+    chosen = sends.choose_host(begun(scene), region)
     assert chosen is (other if keeps_origins else None)
 
 
--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -24,6 +24,7 @@
 from tools.ablations.quarantine import QUARANTINE
 from tools.ablations.restored import RESTORED
 from tools.ablations.serve import SERVE
+from tools.ablations.silences import SILENCES
 from tools.ablations.streams import STREAMS
 from tools.ablations.waiting import WAITING
 
@@ -42,6 +43,7 @@
     *PLACES,
     *WAITING,
     *RESTORED,
+    *SILENCES,
     *STREAMS,
     *ANSWER_ENDS,
     *PROMPT_PARTS,
--- a/tools/ablations/decisions.py
+++ b/tools/ablations/decisions.py
@@ -9,9 +9,9 @@
         'gateway: a silent target is left only for one that can take over',
         [
             (
-                'gateway/node.py',
-                '        attempts.has_alternative = view.placer.has_alternative\n',
-                '',
+                'proxy/response_timeout.py',
+                'if error is None and preparing.result():',
+                'if True:',
             )
         ],
         GATEWAY
@@ -223,7 +223,7 @@
         'gateway: an error that goes to the caller is a failure',
         [
             (
-                'proxy/attempts.py',
+                'proxy/target_outcomes.py',
                 '            if outcome.reason:',
                 '            if False:',
             ),
--- a/tools/ablations/gateway.py
+++ b/tools/ablations/gateway.py
@@ -126,7 +126,7 @@
         'gateway: the soak finds an unrepeatable request that runs twice',
         [
             (
-                'proxy/forwarding.py',
+                'proxy/retry_rules.py',
                 'return request.route.retry_policy is not RetryPolicy.NEVER',
                 'return True',
             ),
@@ -216,7 +216,7 @@
         [
             (
                 'proxy/response_timeout.py',
-                'is_active = now - self._last_activity_at() < soft_timeout_seconds',
+                'is_active = now - self._last_activity_at() < limit_seconds',
                 'is_active = False',
             ),
         ],
@@ -227,8 +227,8 @@
         [
             (
                 'proxy/response_timeout.py',
-                'if not self._may_fail_over():',
-                'if False:',
+                'if error is None and preparing.result():',
+                'if True:',
             ),
         ],
         GATEWAY + 'test_streams.py',
--- a/tools/ablations/streams.py
+++ b/tools/ablations/streams.py
@@ -198,7 +198,7 @@
         'streams: hosts of the previous version get no stream that has begun',
         [
             (
-                'proxy/attempts.py',
+                'proxy/region_sends.py',
                 '            and (request.origin is None or host.keeps_origins)',
                 '',
             ),
