Let streams of sound targets pause for two seconds before they move

Cause: a pause of 0.9 s between events was taken for a target that failed. A stopped process accepts connections and goes on.

A stream now moves after 2 s, or half of the pause after which its callers leave where that is less; after 0.9 s as before where the target can't be connected to, which is what a machine without power looks like.

--- a/jacinthfold/proxy/silence_limits.py
+++ b/jacinthfold/proxy/silence_limits.py
@@ -14,6 +14,12 @@
 # a target that can't be connected to.
 GONE_GAP_FACTOR = 3.0
 MIN_GONE_GAP_SECONDS = 0.9
+# A sound target may be silent for a second or so.
+SOUND_SILENCE_SECONDS = 2.0
+# Callers abandon a stream after the longest of these pauses.
+CALLER_PATIENCE_SECONDS = 2.0
+CALLER_PATIENCE_OBJECTIVES = 4.0
+CALLER_PATIENCE_GAPS = 8.0
 # A host that relays waits longer than the one beside the target, which moves
 # the request within this time.
 RELAY_MARGIN_SECONDS = 0.5
@@ -45,4 +51,13 @@
         self.gone_gap_seconds = margin_seconds + max(
             GONE_GAP_FACTOR * gap_objective_seconds, MIN_GONE_GAP_SECONDS
         )
-        self.gap_seconds = self.gone_gap_seconds
+        patience_seconds = max(
+            CALLER_PATIENCE_SECONDS,
+            CALLER_PATIENCE_OBJECTIVES * objective_seconds,
+            CALLER_PATIENCE_GAPS * gap_objective_seconds,
+        )
+        # Half of the patience is left for the next attempt.
+        self.gap_seconds = margin_seconds + max(
+            min(SOUND_SILENCE_SECONDS, patience_seconds / 2),
+            GONE_GAP_FACTOR * gap_objective_seconds,
+        )
--- a/tests/gateway/test_silent_targets.py
+++ b/tests/gateway/test_silent_targets.py
@@ -214,3 +214,15 @@
     answers = callers.wait()
     assert [one.status for one in answers] == [200] * 4
     assert all(one.is_whole for one in answers)
+
+
+def test_silence_of_a_second_moves_no_stream(engines):
+    """Guards against streams that start again elsewhere for a short silence."""
+    silence = SilentTargets(engines)
+    callers = begin_streams(engines, silence)
+    silence.begin(busiest(engines)[0])
+    pause(1.3)
+    silence.end()
+    assert count_whole(callers) == (STREAMS, [])
+    targets = engines.targets.values()
+    assert sum(len(one.executed) for one in targets) == STREAMS
