Don't take a silence of a second for a failure of the target

What callers saw: after a silence of 1.2 s, targets that served again were set aside for 2.0 to 4.6 s (the record, target_set_aside and target_returned), and requests were refused as late meanwhile.

Cause: each request that moved for silence counted as a failure, and three of them at once set the target aside.

Such a request now counts only if the target answered others while it was silent to this one, if it has sent nothing to anyone for 2 s, or if it never answered. Ruled out as the cause of lost answers by itself: the reproduction loses streams with targets that were never set aside.

--- a/jacinthfold/proxy/target_outcomes.py
+++ b/jacinthfold/proxy/target_outcomes.py
@@ -11,8 +11,13 @@
 from jacinthfold.proxy.delivery import Delivery
 from jacinthfold.proxy.metrics import ProxyMetrics
 from jacinthfold.proxy.outcome import Ending, Outcome
+from jacinthfold.proxy.silence_limits import SOUND_SILENCE_SECONDS
 from jacinthfold.request.messages import Request
 
+# Requests that a target left waiting while it was silent to all end within this
+# time of each other.
+SAME_SILENCE_SECONDS = 0.1
+
 
 class TargetOutcomes:
     """Update the statistics of targets and the metrics of attempts."""
@@ -117,6 +122,8 @@
         if outcome.reason == 'wrong_instance':
             target.set_record_expiry(now)
         is_unreachable = outcome.reason.startswith('unreachable')
+        if delivery.is_given_up and not _is_failing(target, delivery):
+            return
         target.record_failure(
             now,
             is_unreachable=is_unreachable,
@@ -147,6 +154,18 @@
         )
 
 
+def _is_failing(target: Target, delivery: Delivery) -> bool:
+    """Tell whether a silence shows that a target fails."""
+    silent_seconds = delivery.silent_seconds
+    sender_silent_seconds = delivery.sender_silent_seconds
+    if sender_silent_seconds < silent_seconds - SAME_SILENCE_SECONDS:
+        # It answered others meanwhile.
+        return True
+    if not target.activity.has_answered:
+        return True
+    return sender_silent_seconds >= SOUND_SILENCE_SECONDS
+
+
 def _ignore_first_event(
     _request: Request, _estimate: Estimate, _seconds: float
 ) -> None:
--- a/tests/gateway/test_silent_targets.py
+++ b/tests/gateway/test_silent_targets.py
@@ -2,6 +2,12 @@
 
 import pytest
 
+from jacinthfold.proxy.delivery import Delivery
+from jacinthfold.proxy.metrics import ProxyMetrics
+from jacinthfold.proxy.outcome import Ending, Outcome
+from jacinthfold.proxy.response_timeout import ResponseTimeout
+from jacinthfold.proxy.silence_limits import SilenceLimits
+from jacinthfold.proxy.target_outcomes import TargetOutcomes
 from tests.gateway import target_standin as standin
 from tests.gateway.deployment import pause, route, wait_served
 from tests.gateway.silent_targets import (
@@ -10,6 +16,7 @@
     wait_streaming,
     whole_events,
 )
+from tests.gateway.test_placement import Scene, prompt
 from tools.fleet import wait_until
 
 REVIEW = route(
@@ -226,3 +233,47 @@
     assert count_whole(callers) == (STREAMS, [])
     targets = engines.targets.values()
     assert sum(len(one.executed) for one in targets) == STREAMS
+
+
+@pytest.mark.parametrize(
+    ('answered_ago', 'silent_seconds', 'is_failure'),
+    [
+        # Silent to all for as long as to this request.
+        (1.3, 1.3, False),
+        (1.3, 1.25, False),
+        (2.1, 2.1, True),
+        # It answered others meanwhile.
+        (0.2, 1.3, True),
+        # It never answered.
+        (None, 1.3, True),
+    ],
+)
+def test_silence_of_a_second_is_no_failure(
+    answered_ago, silent_seconds, is_failure
+):
+    """Guards against sound targets that are set aside for a short silence."""
+    scene = Scene()
+    target = scene.add('i-1')
+    scene.clock.advance(10)
+    now = scene.clock.monotonic()
+    if answered_ago is not None:
+        target.activity.received_at = now - answered_ago
+    request = prompt(scene, 'subject')
+    timeout = ResponseTimeout(
+        SilenceLimits(request.route),
+        lambda: target.activity.received_at,
+        scene.clock,
+    )
+    delivery = Delivery(request, None, None, timeout, scene.clock)
+    delivery.is_given_up = True
+    delivery.last_bytes_at = now - silent_seconds
+    outcomes = TargetOutcomes(scene.regions, ProxyMetrics(), scene.clock)
+    estimate = scene.placer.choose(request).estimate
+    outcomes.record(
+        request,
+        estimate,
+        delivery,
+        now - silent_seconds,
+        Outcome(Ending.CUT, 'ProxyError: silent'),
+    )
+    assert (target.failure_rate.failures_in_row > 0) is is_failure
