Let connections outlast a silence that a keep-alive probe meets

What callers could see: a connection between hosts, to targets or from callers ends with ETIMEDOUT, and the answer on it with it, when packets aren't acknowledged for a moment.

Cause: TCP_USER_TIMEOUT (3 s) also decides when probes give up. The first one is sent after 2 s idle; if it meets a silence of any length, the second, a second later, finds 3 s without an answer and ends the connection unsent. The count of probes doesn't matter.

With 5 s there are probes at 2, 3 and 4 s; a silence of 2 s can't meet all of them, and a machine without power is noticed 5 s after its last byte. Real losses of acknowledgements were not tried: that needs privileges.

--- a/jacinthfold/transport/channel.py
+++ b/jacinthfold/transport/channel.py
@@ -12,11 +12,12 @@
 # slow reader.
 READ_AHEAD_BYTES = 262144
 # A peer that no longer acknowledges data is detected after this; without it a
-# connection to a machine that lost power hangs for minutes.
-UNACKNOWLEDGED_MILLISECONDS = 3000
+# connection to a machine that lost power hangs for minutes. Probes end by it
+# too: one that is sent two seconds into a silence must be followed by others.
+UNACKNOWLEDGED_MILLISECONDS = 5000
 KEEP_ALIVE_IDLE_SECONDS = 2
 KEEP_ALIVE_INTERVAL_SECONDS = 1
-KEEP_ALIVE_PROBES = 2
+KEEP_ALIVE_PROBES = 3
 
 # On, for no seconds: a socket that is closed sends a reset.
 _NO_LINGER = struct.pack('ii', 1, 0)
