Soak: sound targets fall silent beside planned work

Targets stand still for up to two seconds, one, some or all of a service, while hosts are stopped, started and reloaded, configurations change and targets leave. Each request that was read must have a whole answer, unless its deadline came first.

--- a/tests/gateway/soak.py
+++ b/tests/gateway/soak.py
@@ -75,6 +75,7 @@
         self.answer = answer
         self.key = key
         self.sent_at = sent_at
+        self.ended_at = time.monotonic()
 
 
 class Soak:
@@ -244,10 +245,14 @@
         self._later(seconds, lambda: setattr(store, field, False))
 
     def _signal_host(self, seconds):
+        self.signal_host(seconds, ('kill', 'freeze', 'term', 'reload'))
+
+    def signal_host(self, seconds, ways):
+        """Signal a host in one of the ways, if none has a fault."""
         host = self.deployment.hosts[self.random.choice(sorted(HOSTS))]
         if host.process.poll() is not None or host.name in self._hurt_hosts():
             return
-        how = self.random.choice(('kill', 'freeze', 'term', 'reload'))
+        how = self.random.choice(ways)
         # No program can have a handler while the interpreter itself starts:
         # SIGHUP ends it then, and nobody here would start it again.
         if how == 'reload' and not host.log_since_start():
--- a/tests/gateway/test_soak.py
+++ b/tests/gateway/test_soak.py
@@ -7,6 +7,7 @@
 from tests.gateway.soak_organisations import OrganisationsSoak
 from tests.gateway.soak_pushback import PushbackSoak
 from tests.gateway.soak_restored import RestoredSoak
+from tests.gateway.soak_silences import SilencesSoak
 from tests.gateway.soak_versions import VersionsSoak
 
 SECONDS = 8
@@ -14,6 +15,7 @@
 ORGANISATIONS_SECONDS = 11
 # Limits are binding five seconds after they are named.
 PUSHBACK_SECONDS = 16
+SILENCES_SECONDS = 10
 # Seeds that once failed stay, with their length and the cause.
 FAILED_ONCE = {
     (3, 8): 'SIGTERM while the libraries were loading killed the process',
@@ -90,6 +92,19 @@
     assert seen
 
 
+@pytest.mark.parametrize('seed', [5, 6])
+def test_silences_of_sound_targets_lose_no_answer(seed):
+    """Guards against answers given up for a silence beside planned work.
+
+    Targets are silent for up to two seconds, also all of a service at once,
+    while hosts are stopped and started and configurations change.
+    """
+    problems, faults, seen = run_seed(seed, SILENCES_SECONDS, SilencesSoak)
+    assert problems == []
+    assert any(name.startswith('silent') for name in faults)
+    assert seen
+
+
 @pytest.mark.parametrize('seed', [1, 2])
 def test_streams_keep_to_their_version_under_random_faults(seed):
     """Engines of three versions come and go, and callers take streams up.
