Test what a silent answer is kept for: full targets, a cap, an end meanwhile

Two ablations of the mend passed with their safeguard out, so their tests were too weak: the silent targets of the first were all that had work, so that nothing moved at all; in the second moved streams came back whole. A test with one silent target and full others takes the place of the first in the ablation; the second also counts the runs.

--- a/tests/gateway/test_permit_order.py
+++ b/tests/gateway/test_permit_order.py
@@ -12,8 +12,9 @@
 from jacinthfold.proxy.key_gate import KeyGate
 from jacinthfold.proxy.metrics import ProxyMetrics
 from jacinthfold.proxy.outcome import Ending, Outcome
+from jacinthfold.proxy.progress import Progress
 from jacinthfold.quarantine.quarantine import Quarantine
-from jacinthfold.quota.permits import Permit
+from jacinthfold.quota.permits import CapRejection, Permit
 from tests.gateway.test_freshness import KEY, digest_of
 from tests.gateway.test_organisations import document, record, tenant
 from tests.gateway.test_placement import Scene
@@ -179,3 +180,26 @@
         retry_policy=RetryPolicy.RESUMED,
     )
     assert len(attempts.sent) == 1
+
+
+class NoPermits(SlowPermits):
+    """Reject every run."""
+
+    async def acquire(self, organisation, cost):
+        return CapRejection(1.0, is_over_cap=True)
+
+
+def test_silent_answer_is_kept_while_no_permit_is_free():
+    """Guards against an answer given up before its next run is permitted."""
+    scene = Scene()
+    for name in ('i-1', 'i-2'):
+        scene.add(name)
+    attempts = Attempts()
+    records, _ = forwarder(scene, NoPermits(), attempts)
+    request = scene.request(max_attempts=2, retry_policy=RetryPolicy.WHOLE)
+    request.facts.key_digest = digest_of(KEY.encode())
+    request.organisation = records.routes.organisations.find_by_name('north')
+    progress = Progress(request)
+    prepare = attempts.hooks.prepare_next
+    assert not asyncio.run(prepare(request, Answer(), progress, {'i-1'}, ()))
+    assert (progress.runs, progress.sends) == (0, 0)
--- a/tests/gateway/test_silent_targets.py
+++ b/tests/gateway/test_silent_targets.py
@@ -1,5 +1,7 @@
 """Targets that fall silent and go on lose no answer."""
 
+import asyncio
+
 import pytest
 
 from jacinthfold.proxy.delivery import Delivery
@@ -81,6 +83,20 @@
     assert count_whole(callers) == (STREAMS, [])
 
 
+def test_one_silent_target_keeps_streams_that_others_turn_away(engines):
+    """Guards against streams given up for targets that stream and are full."""
+    silence = SilentTargets(engines)
+    callers = begin_streams(engines, silence)
+    first, *others = busiest(engines)
+    for name in others:
+        engines.targets[name].script = standin.refuse
+    silence.begin(first)
+    pause(2.6)
+    silence.end()
+    assert count_whole(callers) == (STREAMS, [])
+    assert 'reason=target_refused' in engines.hosts['north-a'].log()
+
+
 @pytest.mark.parametrize('seconds', [1.3, 2.6])
 def test_all_targets_silent_at_once_lose_no_stream(engines, seconds):
     """Guards against streams given up with nothing to take their place."""
@@ -90,6 +106,8 @@
     pause(seconds)
     silence.end()
     assert count_whole(callers) == (STREAMS, [])
+    targets = engines.targets.values()
+    assert sum(len(one.executed) for one in targets) == STREAMS
 
 
 @pytest.mark.parametrize('phase', ['events', 'inside_event', 'head'])
@@ -277,3 +295,28 @@
         Outcome(Ending.CUT, 'ProxyError: silent'),
     )
     assert (target.failure_rate.failures_in_row > 0) is is_failure
+
+
+def test_stream_goes_on_when_its_target_ends_during_the_handover(engines):
+    """Guards against a next attempt that is dropped when it is needed.
+
+    The next target takes 0.2 s to answer, and the silent one ends meanwhile.
+    """
+    silence = SilentTargets(engines)
+    callers = begin_streams(engines, silence, count=3)
+    first = busiest(engines)[0]
+    asked = []
+    whole = silence.script()
+
+    async def hesitate(target, request, writer):
+        asked.append(request)
+        engines.targets[first].end()
+        await asyncio.sleep(0.2)
+        return await whole(target, request, writer)
+
+    for name in ENGINES:
+        if name != first:
+            engines.targets[name].script = hesitate
+    silence.begin(first)
+    assert count_whole(callers) == (3, [])
+    assert asked
--- a/tools/ablations/silences.py
+++ b/tools/ablations/silences.py
@@ -14,7 +14,7 @@
                 '        outcome = None',
             ),
         ],
-        f'{SILENT}::test_silent_target_keeps_streams_that_others_turn_away',
+        f'{SILENT}::test_one_silent_target_keeps_streams_that_others_turn_away',
     ),
     Ablation(
         'silences: work is not moved to a target that is silent too',
