Withdraw what was prepared when the answer goes on in the same turn

What callers could see: none did; found by reading the mend. When the silent answer goes on in the same turn of the event loop in which the next attempt has been taken, the first one is delivered, but the other stayed prepared. It ran beside the first until that ended; had the first broken later, its stream would have been resumed from an event that its caller already had, and come twice.

Cause: the wait for the answer ends what is being prepared, and what was prepared only if it gives the answer up. Now it also ends what became prepared after it stopped, unless the connection had ended and the next attempt is needed. The new test fails without the call (nothing is withdrawn).

--- a/jacinthfold/proxy/attempt_hooks.py
+++ b/jacinthfold/proxy/attempt_hooks.py
@@ -18,11 +18,18 @@
 class AttemptHooks:
     """Hold the callbacks of attempts, which do nothing until they are set."""
 
-    __slots__ = ('on_begin', 'prepare_next', 'refuses_version')
+    __slots__ = (
+        'discard_next',
+        'on_begin',
+        'prepare_next',
+        'refuses_version',
+    )
 
     def __init__(self) -> None:
         """Start with callbacks that do nothing."""
         self.prepare_next: PrepareNext = _prepare_none
+        # Ends what was prepared, as the attempt before it goes on.
+        self.discard_next: Callable[[Request, Progress], None] = _ignore_next
         # Called before a caller gets the first event of a stream, with the
         # version of the software that made it, None if that is unknown.
         self.on_begin: Callable[[Request, str | None], None] = _ignore_begin
@@ -38,6 +45,10 @@
     return False
 
 
+def _ignore_next(_request: Request, _progress: Progress) -> None:
+    """Do nothing without a next attempt."""
+
+
 async def _prepare_none(
     _request: Request,
     _response: CallerResponse,
--- a/jacinthfold/proxy/forwarding.py
+++ b/jacinthfold/proxy/forwarding.py
@@ -57,9 +57,9 @@
         self._clock = clock
         self._rejection_lines = RejectionLines(clock)
         self._failures = FailureResponses(dialect, clock)
-        attempts.hooks.prepare_next = Handover(
-            self.placement, attempts, budgets, metrics, clock
-        ).prepare
+        handover = Handover(self.placement, attempts, budgets, metrics, clock)
+        attempts.hooks.prepare_next = handover.prepare
+        attempts.hooks.discard_next = handover.discard
         # Finds where a stream began that its caller takes up again.
         self.resolve_origin: Callable[[Request], Awaitable[None]] = _skip
 
@@ -101,6 +101,7 @@
         """Admit, place and send once; return whether to attempt again."""
         prepared = progress.take_prepared()
         if prepared is not None:
+            progress.permit = prepared.permit
             return await self._try_once(
                 request,
                 response,
--- a/jacinthfold/proxy/handover.py
+++ b/jacinthfold/proxy/handover.py
@@ -74,6 +74,12 @@
         ).inc()
         return not refusal
 
+    def discard(self, request: Request, progress: Progress) -> None:
+        """End what was prepared, as the attempt before it goes on."""
+        prepared = progress.take_prepared()
+        if prepared is not None:
+            self._withdraw(request, progress, prepared)
+
     async def _prepare(
         self,
         request: Request,
--- a/jacinthfold/proxy/progress.py
+++ b/jacinthfold/proxy/progress.py
@@ -177,11 +177,9 @@
             self.runs += 1
 
     def take_prepared(self) -> 'PreparedAttempt | None':
-        """Return the attempt that was prepared, which the caller runs."""
+        """Return the attempt that was prepared, to be run or withdrawn."""
         prepared = self.next_attempt.prepared
         self.next_attempt.prepared = None
-        if prepared is not None:
-            self.permit = prepared.permit
         return prepared
 
     def _record_destination(self, choice: Choice) -> None:
--- a/jacinthfold/proxy/region_sends.py
+++ b/jacinthfold/proxy/region_sends.py
@@ -109,6 +109,9 @@
             lambda: self._hosts.heard_at(host.name),
             self._clock,
         )
+        timeout.discard_next = lambda: self._hooks.discard_next(
+            request, progress
+        )
         timeout.prepare_next = lambda: self._hooks.prepare_next(
             request,
             response,
--- a/jacinthfold/proxy/response_timeout.py
+++ b/jacinthfold/proxy/response_timeout.py
@@ -33,6 +33,7 @@
     __slots__ = (
         '_clock',
         '_last_activity_at',
+        'discard_next',
         'is_gone',
         'limits',
         'prepare_next',
@@ -50,6 +51,8 @@
         self._clock = clock
         # Begins the next attempt; tells whether it takes the request over.
         self.prepare_next: Callable[[], Awaitable[bool]] = _prepare_none
+        # Ends the next attempt when the response goes on after all.
+        self.discard_next: Callable[[], None] = _discard_none
         # Tells whether the sender can no longer be connected to.
         self.is_gone: Callable[[], bool] = bool
 
@@ -126,6 +129,7 @@
         '_handle',
         '_has_begun',
         '_is_stopped',
+        '_keeps_prepared',
         '_preparing',
         '_started_at',
         '_task',
@@ -149,6 +153,7 @@
         self.cancellations_before = task.cancelling()
         self.is_expired = False
         self._is_stopped = False
+        self._keeps_prepared = False
         self._preparing: asyncio.Future[bool] | None = None
         limits = timeout.limits
         self._handle = self._schedule_check(
@@ -165,6 +170,7 @@
     async def wait_prepared(self) -> None:
         """Wait until what is being prepared has begun or failed."""
         self._is_stopped = True
+        self._keeps_prepared = True
         self._handle.cancel()
         if self._preparing is not None:
             await asyncio.wait({self._preparing})
@@ -192,9 +198,13 @@
         error = preparing.exception()
         if error is not None:
             logs.error('handover_failed', reason=repr(error))
+        is_prepared = error is None and preparing.result()
         if self._is_stopped:
+            # It was prepared in the same moment in which the response went on.
+            if is_prepared and not self._keeps_prepared:
+                self._timeout.discard_next()
             return
-        if error is None and preparing.result():
+        if is_prepared:
             self.is_expired = True
             self._task.cancel()
             return
@@ -206,3 +216,7 @@
 async def _prepare_none() -> bool:
     """Find no next attempt."""
     return False
+
+
+def _discard_none() -> None:
+    """Do nothing without a next attempt."""
--- a/jacinthfold/proxy/target_sends.py
+++ b/jacinthfold/proxy/target_sends.py
@@ -105,6 +105,9 @@
         timeout.is_gone = lambda: (
             target.unreachable_until > self._clock.monotonic()
         )
+        timeout.discard_next = lambda: self._hooks.discard_next(
+            request, progress
+        )
         timeout.prepare_next = lambda: self._hooks.prepare_next(
             request,
             response,
--- a/tests/gateway/test_silent_targets.py
+++ b/tests/gateway/test_silent_targets.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from jacinthfold.catalogue.model import RetryPolicy
+from jacinthfold.clock import SystemClock
 from jacinthfold.proxy.delivery import Delivery
 from jacinthfold.proxy.metrics import ProxyMetrics
 from jacinthfold.proxy.outcome import Ending, Outcome
@@ -320,3 +322,41 @@
     silence.begin(first)
     assert count_whole(callers) == (3, [])
     assert asked
+
+
+def test_attempt_prepared_as_the_answer_goes_on_is_withdrawn():
+    """Guards against a stream at two targets that is resumed twice later."""
+    discarded = []
+
+    async def answer():
+        loop = asyncio.get_running_loop()
+        chunk = loop.create_future()
+        route = Scene().request(retry_policy=RetryPolicy.RESUMED).route
+        limits = SilenceLimits(route)
+        limits.soft_seconds = limits.gone_gap_seconds = 0.01
+
+        async def prepare():
+            # Both become known in the same turn of the event loop.
+            chunk.set_result(b'event')
+            return True
+
+        timeout = ResponseTimeout(limits, lambda: -1e9, SystemClock())
+        timeout.prepare_next = prepare
+        timeout.discard_next = lambda: discarded.append(True)
+
+        async def read():
+            return await chunk
+
+        try:
+            return await timeout.wait(read(), has_begun=False)
+        except TimeoutError:
+            return b'silent'
+
+    async def run():
+        found = await answer()
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        return found
+
+    assert asyncio.run(run()) == b'event'
+    assert discarded == [True]
--- a/tools/ablations/silences.py
+++ b/tools/ablations/silences.py
@@ -49,4 +49,15 @@
         ],
         f'{SILENT}::test_answer_that_goes_on_first_is_kept',
     ),
+    Ablation(
+        'silences: an attempt prepared as the answer goes on is withdrawn',
+        [
+            (
+                'proxy/response_timeout.py',
+                '                self._timeout.discard_next()',
+                '                pass',
+            ),
+        ],
+        f'{SILENT}::test_attempt_prepared_as_the_answer_goes_on_is_withdrawn',
+    ),
 ]
