--- a/tools/ablations/decisions.py
+++ b/tools/ablations/decisions.py
@@ -10,8 +10,8 @@
         [
             (
                 'proxy/response_timeout.py',
-                'if error is None and preparing.result():',
-                'if True:',
+                '        if is_prepared:\n            self.is_expired',
+                '        if True:\n            self.is_expired',
             )
         ],
         GATEWAY
--- a/tools/ablations/gateway.py
+++ b/tools/ablations/gateway.py
@@ -227,8 +227,8 @@
         [
             (
                 'proxy/response_timeout.py',
-                'if error is None and preparing.result():',
-                'if True:',
+                '        if is_prepared:\n            self.is_expired',
+                '        if True:\n            self.is_expired',
             ),
         ],
         GATEWAY + 'test_streams.py',
--- a/tools/ablations/silences.py
+++ b/tools/ablations/silences.py
@@ -32,8 +32,8 @@
         [
             (
                 'proxy/response_timeout.py',
-                'if error is None and preparing.result():',
-                'if False:',
+                '        if is_prepared:\n            self.is_expired',
+                '        if False:\n            self.is_expired',
             ),
         ],
         f'{SILENT}::test_stream_of_a_target_that_stays_silent_goes_on_elsewhere',
