Let two tests of pauses pause for longer than the limit again

Two tests that must pause for longer paused for 1.5 and 1.4 s, so that nothing was put to the test: their ablations passed. They pause for 2.3 and 2.4 s now (one route's timeout is raised to leave room for it), and both ablations fail as they should.

--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -140,7 +140,7 @@
     The engine sends one event, pauses for longer than the timeout of pauses and
     goes on. The route allows a second attempt, but the other engine is gone.
     """
-    engines.targets['i-1'].script = standin.stream(2, pause_seconds=1.5)
+    engines.targets['i-1'].script = standin.stream(2, pause_seconds=2.3)
     engines.store.remove('servers/i-2')
     wait_until(
         lambda: 'event=target_gone' in engines.hosts['north-a'].log(),
@@ -176,7 +176,7 @@
 
 
 def test_soft_timeout_does_not_end_the_last_attempt(engines):
-    """An engine pauses for 1.4 s in its response, at the last attempt.
+    """An engine pauses for 2.4 s in its response, at the last attempt.
 
     A timeout would truncate the response although the remaining events were
     about to arrive: the caller would lose a request that was served.
@@ -184,7 +184,11 @@
     engines.put_routes(
         route('/warm/', 'model', 'idempotent'),
         route(
-            '/last/', 'model', 'stream', resumable=True, **{'max-attempts': 1}
+            '/last/',
+            'model',
+            'stream',
+            resumable=True,
+            **{'max-attempts': 1, 'timeout-ms': 12000},
         ),
     )
     wait_until(
@@ -193,7 +197,7 @@
     )
     for target in engines.targets.values():
         target.executed.clear()
-        target.script = standin.stream(3, pause_seconds=1.4)
+        target.script = standin.stream(3, pause_seconds=2.4)
     answer = send_prompt(engines, '/last/1', seconds=12)
     assert answer.is_whole
     assert answer.body == events(1, 3)
