--- a/tests/gateway/test_waiting_driver.py
+++ b/tests/gateway/test_waiting_driver.py
@@ -8,6 +8,7 @@
 from jacinthfold.placement.placement_rates import HOLD_SHARE
 from jacinthfold.placement.retry_schedule import HONOURED_SHARE
 from jacinthfold.proxy import waiting_log
+from jacinthfold.proxy.failure_responses import FailureResponses
 from jacinthfold.proxy.waiting import CHECK_SECONDS, RELAYED_LIMIT_SECONDS
 from tests.gateway import virtual_time
 from tests.gateway.overload import Dialect, Response
@@ -27,7 +28,7 @@
         self.records, self.forwarder = forwarder(
             self.scene, self.permits, self.attempts
         )
-        self.forwarder._dialect = Dialect()
+        self.forwarder._failures = FailureResponses(Dialect(), self.scene.clock)
         self.waiting = self.forwarder.placement.waiting
         self.waiting.set_limit(limit_requests)
 
