Soak: a target whose answer is lost has told nothing

Traced by its logs: the request whose answer is said to have told it (s2-c7-111) lost its connection at desk-2 before a response, ran at desk-1 and was served there, which the soak took for an answer of desk-2. The host heard of the leaving 2.04 s later by another answer (target_leaving at 37.009) and sent its last request 1.97 s after that, within the 3 s allowed. The soak now counts a word only if its target wrote the answer that holds it.

--- a/tests/gateway/soak_pushback.py
+++ b/tests/gateway/soak_pushback.py
@@ -63,10 +63,13 @@
     async def serve(self, whole, target, request, writer, source):
         """Answer as the target does meanwhile."""
         header = self.header(source)
-        if header[1] not in UNREADABLE:
-            self.said.add(request.headers['attempt-id'])
         writer = HeadWriter(writer, header)
-        return await whole(target, request, writer)
+        try:
+            return await whole(target, request, writer)
+        finally:
+            # A target that loses its answer has told nothing.
+            if writer.has_written and header[1] not in UNREADABLE:
+                self.said.add(request.headers['attempt-id'])
 
     def counted(self, soak):
         """Return when requests of hosts came that the target had told.
@@ -185,11 +188,13 @@
     def __init__(self, writer, header):
         self._writer = writer
         self._line = '{}: {}\r\n'.format(*header).encode()
+        self.has_written = False
 
     def write(self, content):
         if content.startswith(HEAD):
             status, _, rest = content.partition(b'\r\n')
             content = status + b'\r\n' + self._line + rest
+            self.has_written = True
         self._writer.write(content)
 
     async def drain(self):
