--- a/tests/gateway/soak.py
+++ b/tests/gateway/soak.py
@@ -507,13 +507,13 @@
         soak = kind(seed, seconds, Path(directory))
         problems = soak.run()
         if problems:
-            keep_logs(seed, directory)
+            keep_logs(f'{kind.__name__}-{seed}', directory)
         return problems, soak.faults, soak.seen
 
 
-def keep_logs(seed, directory):
+def keep_logs(name, directory):
     """Keep the logs of a failed seed."""
-    kept = Path('target') / 'soak' / str(seed)
+    kept = Path('target') / 'soak' / name
     kept.mkdir(parents=True, exist_ok=True)
     for log in Path(directory).glob('*.log'):
         (kept / log.name).write_bytes(log.read_bytes())
