--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,9 +1,9 @@
 # flake8: noqa
-"""A host that the store turns away goes on with streams at another version."""
+"""Long prompts of many parts drive every host over its memory, each time."""
 
-import asyncio
 import os
 import random
+import signal
 import sys
 import threading
 import time
@@ -15,166 +15,84 @@
 
 from tests.gateway import target_standin as standin  # noqa: E402
 
-PATH = '/itinerary/'
-SERVICE = 'jacinth-serve'
-# Replicas of the first version, by zone, as on the site's sheet.
-OLD_ZONES = ['ljubljana-a'] * 3 + ['maribor-a'] * 2 + ['koper-a']
-# A replica of the second version joins in koper-a. Of the two machines there,
-# the one that its id ranks second is turned away by the store.
-NEW_INSTANCE = 'i-7f3a91c2'
-TURNED_AWAY = 'front-koper-a-2'
-EVENTS = 40
-FIRST_SECONDS = 0.15
-PAUSE_SECONDS = 0.08
-# From the moment at which the store begins to turn the host away.
-REGISTER_AFTER = 0.5
-CRASH_AFTER = 1.45
-PER_SECOND = 100
-# Shared first parts of prompts, as in the site.
-SHARED_PARTS = 36
-
-
-class StoreDoor:
-    """Pass a host's channels to the store, or reset them."""
+kit.ZONES = {
+    'ashta-hall': 'erie-south',
+    'bay-hall': 'huron-west',
+    'duluth-hall': 'superior-port',
+}
+PATH = '/review/'
+SERVICE = 'review-llm'
+HOSTS = 3
+# In the zone ashta-hall, as the bench plays the site.
+REPLICAS = 9
+MEMORY_MB = 300
+# The usual prompt: 12,000 tokens in three parts.
+USUAL = (3, 4000)
+# A long one: 45,500 tokens in 1,300 parts; the head has 15.8 KB of the 16 KB that
+# clients may send.
+LONG = (int(os.environ.get('PARTS', '1300')), 35)
+# 15.6 reviews a second for eight machines, two and a half times that in a burst.
+USUAL_PER_SECOND_AND_HOST = 2.0
+BURST_PER_SECOND_AND_HOST = 4.9
+BURSTS_AT = (2.0, 17.0, 32.0, 47.0, 62.0, 77.0)
+BURST_SECONDS = 10.0
+SECONDS = 90
+RESTART_SECONDS = 1.0
+EVENTS = 4
+# "three times in the day", "two at least".
+KILLS, KILLED_HOSTS = 3, 2
+
+
+class Platform:
+    """Kill a process that exceeds its memory, and start it again."""
 
     def __init__(self, bed):
-        self.address = ('127.0.0.1', bed.port())
-        self._store = bed.store.address
-        self._writers = set()
-        self._is_shut = False
-        bed.loop.run(self._open())
-
-    async def _open(self):
-        self._server = await asyncio.start_server(self._serve, *self.address)
-
-    async def shut(self):
-        self._is_shut = True
-        for writer in list(self._writers):
-            writer.transport.abort()
-
-    async def _serve(self, reader, writer):
-        if self._is_shut:
-            writer.transport.abort()
-            return
-        far_reader, far_writer = await asyncio.open_connection(*self._store)
-        pair = {writer, far_writer}
-        self._writers |= pair
-        try:
-            await asyncio.gather(
-                self._copy(reader, far_writer), self._copy(far_reader, writer)
-            )
-        except (ConnectionError, asyncio.CancelledError):
-            pass
-        finally:
-            self._writers -= pair
-            for one in pair:
-                one.transport.abort()
-
-    async def _copy(self, reader, writer):
-        while content := await reader.read(65536):
-            writer.write(content)
-            await writer.drain()
-        writer.transport.abort()
-
-
-def stream_of(bed, version):
-    async def script(replica, request, writer):
-        name = request.headers['attempt-id']
-        replica.executed.append(request)
-        first = int(request.headers.get('last-event-id') or 0) + 1
-        bed.note(
-            f'{replica.instance} ({version}): runs {name} from event {first}'
-        )
-        await asyncio.sleep(FIRST_SECONDS)
-        writer.write(standin.stream_head(request))
-        for number in range(first, EVENTS + 1):
-            if request.is_left:
-                return False
-            event = f'id: {number}\ndata: {version} piece {number}\n\n'.encode()
-            writer.write(standin._chunk(event))
-            await writer.drain()
-            await asyncio.sleep(PAUSE_SECONDS)
-        writer.write(b'0\r\n\r\n')
-        await writer.drain()
-        return True
-
-    return script
-
-
-class Client:
-    """Send one request, and once more if its channel breaks."""
-
-    def __init__(self, bed, name):
         self.bed = bed
-        self.name = name
-        self.part = random.randrange(SHARED_PARTS) + 0x5C1E0700
-        self.versions = []
-        self.events = []
+        self.kills = dict.fromkeys((host.name for host in bed.hosts), 0)
+        self.most_mb = dict.fromkeys(self.kills, 0)
+        self._is_over = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._watch, args=(host,))
+            for host in bed.hosts
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def end(self):
+        self._is_over.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _watch(self, host):
+        while not self._is_over.wait(0.1):
+            used_mb = _private_mb(host.process.pid)
+            self.most_mb[host.name] = max(self.most_mb[host.name], used_mb)
+            if used_mb <= MEMORY_MB:
+                continue
+            self.kills[host.name] += 1
+            self.bed.note(
+                f'platform: {host.name} holds {used_mb} MB of {MEMORY_MB} MB'
+            )
+            host.signal(signal.SIGKILL)
+            host.process.wait()
+            if self._is_over.wait(RESTART_SECONDS):
+                return
+            host.start()
 
-    def run(self, found, chosen):
-        addresses = {}
-        for host in self.bed.hosts:
-            addresses[f'{host.address}:{self.bed.ports["front"]}'] = host
-        hosts = [addresses[one] for one in found['addresses']]
-        deadline = time.monotonic() + 8
-        first = chosen or random.choice(hosts)
-        ending = self._try(first, self.name, deadline)
-        if ending != 'channel ended':
-            return
-        others = [one for one in hosts if one is not first]
-        self._try(random.choice(others), f'{self.name}-2', deadline)
 
-    def _try(self, host, attempt, deadline):
-        headers = [
-            ('Attempt-Id', attempt),
-            (
-                'Request-Deadline',
-                str(int((deadline - time.monotonic()) * 1000)),
-            ),
-            ('Model', 'm'),
-            ('Token-Usage', '900,200'),
-            (
-                'Prompt-Prefix',
-                f'{self.part:08x}:800,{self.name.encode().hex()}:100',
-            ),
-        ]
-        if self.events:
-            headers.append(('Last-Event-Id', str(self.events[-1])))
-            headers.append(('Resumes', self.name))
-        try:
-            channel = kit.Channel(host.front)
-        except OSError as error:
-            self.bed.note(f'client: {attempt} {host.name}: {error!r}')
-            return 'no host'
-        channel.send('POST', f'{PATH}x', headers, b'prompt')
-        status, _, body, ending = channel.receive(10)
-        channel.close()
-        text = body.decode()
-        for event in text.split('\n\n')[:-1]:
-            lines = dict(one.split(': ', 1) for one in event.split('\n'))
-            self.events.append(int(lines['id']))
-            self.versions.append(lines['data'].split()[0])
-        seen = ','.join(sorted(set(self.versions)))
-        self.bed.note(
-            f'client: {attempt} at {host.name}: status {status},'
-            f' events up to {self.events[-1:]}, {ending}, versions {seen}'
-        )
-        return ending
+def _private_mb(pid):
+    """Return a process's own memory, without what it maps from files."""
+    try:
+        lines = Path(f'/proc/{pid}/status').read_text().splitlines()
+    except OSError:
+        return 0
+    found = [one for one in lines if one.startswith('RssAnon:')]
+    return int(found[0].split()[1]) // 1024 if found else 0
 
 
 def events(bed):
-    hosts = [
-        bed.add_host(f'front-{zone}-{number}', zone)
-        for zone, number in (
-            ('koper-a', 1),
-            ('koper-a', 2),
-            ('ljubljana-a', 1),
-            ('maribor-a', 1),
-        )
-    ]
-    door = StoreDoor(bed)
-    shut_out = next(one for one in hosts if one.name == TURNED_AWAY)
-    shut_out.store_address = door.address
+    for number in range(1, HOSTS + 1):
+        bed.add_host(f'front-ashta-hall-{number}', 'ashta-hall')
     bed.put_config(
         [
             kit.route(
@@ -183,78 +101,90 @@
                 'stream',
                 resumable=True,
                 sticky=True,
-                **{'timeout-ms': 8000, 'target-gap-ms': 400},
+                **{'timeout-ms': 15000},
             )
         ],
         [
             kit.service(
                 SERVICE,
-                engine={'slots': 64, 'kv-tokens': 324925},
-                **{'warmup-s': 3.0, 'warmup-per-s': 7.3},
+                engine={'slots': 64, 'kv-tokens': 528732},
+                **{'warmup-s': 3.0, 'warmup-per-s': 3.3},
             )
         ],
     )
-
-    def replica(instance, version):
-        made = standin.TargetStandIn(('127.0.0.1', bed.port()), instance)
-        made.script = stream_of(bed, version)
-        return bed.add_replica(made)
-
-    for number, zone in enumerate(OLD_ZONES):
-        made = replica(f'i-old{number}', 'v1')
-        bed.put_replica(made, SERVICE, zone, version='v1')
+    for number in range(REPLICAS):
+        replica = standin.TargetStandIn(
+            ('127.0.0.1', bed.port()), f'i-{number:02}3a91c2'
+        )
+        replica.script = standin.stream(EVENTS, pause_seconds=0.03)
+        bed.add_replica(replica)
+        bed.put_replica(replica, SERVICE, 'ashta-hall', slots=64)
     bed.start_hosts()
-    time.sleep(5)
-    found = bed.resolve(hosts[0], 'koper-a')
-    bed.note(f'client: directory answers {found}')
-    clients, threads = [], []
+    time.sleep(3)
+    counts = {}
+    lock = threading.Lock()
 
-    def ask(chosen=None):
-        client = Client(bed, f'r{len(clients)}')
-        clients.append(client)
-        thread = threading.Thread(target=client.run, args=(found, chosen))
-        thread.start()
-        threads.append(thread)
+    def ask(name, host, shape):
+        count, each = shape
+        parts = [f'{random.getrandbits(32):08x}:{each}' for _ in range(count)]
+        headers = [
+            ('Attempt-Id', name),
+            ('Request-Deadline', '15000'),
+            ('Model', 'm'),
+            ('Token-Usage', f'{each * count},40'),
+            ('Prompt-Prefix', ','.join(parts)),
+        ]
+        channel = None
+        try:
+            channel = kit.Channel(host.front)
+            channel.send('POST', f'{PATH}x', headers, b'prompt')
+            status, _, _, ending = channel.receive(16)
+            key = f'status {status}, {ending}'
+        except OSError as error:
+            key = f'no channel, {type(error).__name__}'
+        if channel is not None:
+            channel.close()
+        with lock:
+            counts[key] = counts.get(key, 0) + 1
 
+    platform = Platform(bed)
     began_at = time.monotonic()
-    if kit.TROUBLE:
-        bed.loop.run(door.shut())
-        bed.note(f'store: turns {TURNED_AWAY} away from now on (resets)')
-    is_registered = is_crashed = False
-    new = []
-    until = began_at + 4
-    while time.monotonic() < until:
+    sent = 0
+    was_burst = False
+    while time.monotonic() < began_at + SECONDS:
         elapsed = time.monotonic() - began_at
-        if not is_registered and elapsed >= REGISTER_AFTER:
-            is_registered = True
-            new.append(replica(NEW_INSTANCE, 'v2'))
-            bed.put_replica(
-                new[-1],
-                SERVICE,
-                'koper-a',
-                version='v2',
-                **{'warmup-left-ms': 3000},
-            )
-            bed.note('a replica of v2 registers')
-        if kit.TROUBLE and not is_crashed and elapsed >= CRASH_AFTER:
-            is_crashed = True
-            for one in new:
-                bed.loop.loop.call_soon_threadsafe(one.end)
-            bed.note('the replica of v2 crashes')
-        if elapsed < 2.5:
-            ask()
-        time.sleep(1 / PER_SECOND)
-    for thread in threads:
-        thread.join()
-    joined = [one for one in clients if len(set(one.versions)) > 1]
-    taken_up = [one for one in clients if 'v2' in one.versions]
-    bed.note(f'{len(taken_up)} streams had events of v2, {len(joined)} of both')
-    if len(joined) <= 2:
+        is_burst = kit.TROUBLE and any(
+            at <= elapsed < at + BURST_SECONDS for at in BURSTS_AT
+        )
+        if is_burst is not was_burst:
+            was_burst = is_burst
+            kind = 'long prompts, more of them' if is_burst else 'usual'
+            bed.note(f'clients: the traffic is {kind} from now on')
+        sent += 1
+        host = random.choice(bed.hosts)
+        shape = LONG if is_burst else USUAL
+        thread = threading.Thread(target=ask, args=(f'a{sent}', host, shape))
+        thread.start()
+        if min(platform.kills.values()) >= KILLS:
+            break
+        per_host = USUAL_PER_SECOND_AND_HOST
+        if is_burst:
+            per_host = BURST_PER_SECOND_AND_HOST
+        time.sleep(1 / (HOSTS * per_host))
+    platform.end()
+    time.sleep(2)
+    bed.note(f'clients: {sent} requests')
+    for key in sorted(counts):
+        bed.note(f'clients: {key}: {counts[key]}')
+    for name, most in platform.most_mb.items():
+        bed.note(
+            f'platform: {name} held at most {most} MB, killed'
+            f' {platform.kills[name]} times'
+        )
+    ended = [one for one in platform.kills if platform.kills[one] >= KILLS]
+    if len(ended) < KILLED_HOSTS:
         return []
-    return [
-        f'{one.name} got events of {sorted(set(one.versions))}'
-        for one in joined
-    ]
+    return [f'{name} ended {platform.kills[name]} times' for name in ended]
 
 
 kit.play(os.path.dirname(os.path.abspath(__file__)), events)
