serve: count a stream with its end marker as whole

Callers got the last event and the end marker of a stream twice.

Cause: when an engine froze or ended between the end marker and the chunk that ends the answer, Relay called the attempt cut without asking whether the marker had come, and the stream was resumed at another engine. _lacks_only_end looks for the last event at the end of what came and finds the marker there instead.

Now a transfer that fails after the marker is whole: all that the caller is owed has been passed on.

Ruled out: a resumption by the caller (there was one request), and the gateway, which drops events whose id it has passed on.

--- a/jacinthfold/serve/relay.py
+++ b/jacinthfold/serve/relay.py
@@ -142,6 +142,11 @@
         """Tell whether a stream has ended without its end marker."""
         return self._is_stream and not self._stream_ended
 
+    @property
+    def has_end_marker(self) -> bool:
+        """Tell whether a stream is complete, whatever comes after it."""
+        return self._is_stream and self._stream_ended
+
     def on_body(self, payload: bytes) -> int | None:
         """Take a part of the body from libcurl; -1 ends the transfer."""
         self._has_news = True
@@ -331,6 +336,8 @@
         result.ending = Ending.CALLER_GONE
     elif transfer.crossed:
         result.reason = 'the answer was to another request'
+    elif transfer.has_end_marker:
+        result.ending = Ending.WHOLE
     elif transfer.outlet is not None:
         result.ending = Ending.CUT
     elif not turned.request_sent:
