Name a relayed request's organisation once to its target

Cause: the host that the caller asked adds the header with the organisation's name to the request that it relays, and the host beside the target adds it once more.

Now the header goes to targets only, and a host that relays for another one replaces what has come: so it stands once also beside hosts of the version before, whichever of the two is the older one.

Class: two hosts on a request's way that each add what must stand once. Looked for elsewhere: deadline, instance, priority and last event id are replaced; headers between hosts are dropped; a comparison of all headers, the target and the body shows no other.

Ruled out: a key on a public route (no name is sent, as before), and keys that are passed on.

--- a/jacinthfold/platform/dialect.py
+++ b/jacinthfold/platform/dialect.py
@@ -117,10 +117,14 @@
         last_event_id: str,
     ) -> Headers:
         """Return the headers to send to a target, without framing."""
+        replaced = REPLACED_HEADERS
+        if request.organisation is not None:
+            # A host that relays may have set the name already.
+            replaced = replaced | CREDENTIAL_HEADERS
         headers = [
             (name, content)
             for name, content in without_framing(request.headers)
-            if name.lower() not in REPLACED_HEADERS
+            if name.lower() not in replaced
         ]
         remaining_ms = max(1, int(remaining_seconds * _MS))
         headers.append((REQUEST_DEADLINE, str(remaining_ms).encode()))
--- a/jacinthfold/proxy/region_sends.py
+++ b/jacinthfold/proxy/region_sends.py
@@ -134,6 +134,10 @@
             last_event_id=progress.last_event_id,
         )
         headers = relay_header.without_internal(headers)
+        if request.organisation is not None:
+            # Its name is in the relay header. The other host sets this one for
+            # its target; hosts of the previous version would add it again.
+            headers = self._dialect.without_credentials(headers)
         headers.extend(
             relay_header.route_header(
                 request,
--- a/tests/gateway/http_server.py
+++ b/tests/gateway/http_server.py
@@ -15,9 +15,11 @@
         self.method = event.method.decode()
         self.target = event.target.decode()
         self.arrived_at = time.monotonic()
-        self.headers = {
-            name.decode(): content.decode() for name, content in event.headers
-        }
+        # All headers as they arrived, also those that come twice.
+        self.pairs = [
+            (name.decode(), content.decode()) for name, content in event.headers
+        ]
+        self.headers = dict(self.pairs)
         self.body = body
 
     @property
--- a/tests/gateway/soak.py
+++ b/tests/gateway/soak.py
@@ -327,6 +327,9 @@
             self.problems.extend(
                 one for one in found if not self.is_excused(seen, one)
             )
+        for target in self.deployment.targets.values():
+            for ran in target.executed:
+                self.problems.extend(check_arrival(ran))
         for name, host in self.deployment.hosts.items():
             if host.process.poll() is not None:
                 self.problems.append(f'{name} ended by itself')
@@ -501,6 +504,15 @@
         yield f'{name} got a stream with {answer.body[-40:]!r} at its end'
 
 
+def check_arrival(ran):
+    """Return what is wrong with a request as its target received it."""
+    name = ran.headers.get('attempt-id', 'a request without an id')
+    counts = Counter(header for header, _ in ran.pairs)
+    for header, count in counts.items():
+        if count > 1:
+            yield f'{name} arrived with {header} {count} times'
+
+
 def run_seed(seed, seconds, kind=Soak):
     """Run one seed; return its problems, faults and requests."""
     with tempfile.TemporaryDirectory(prefix='soak-') as directory:
