--- a/jacinthfold/platform/dialect.py
+++ b/jacinthfold/platform/dialect.py
@@ -120,7 +120,7 @@
         replaced = REPLACED_HEADERS
         if request.organisation is not None:
             # A host that relays may have set the name already.
-            replaced = replaced | CREDENTIAL_HEADERS
+            replaced |= CREDENTIAL_HEADERS
         headers = [
             (name, content)
             for name, content in without_framing(request.headers)
--- a/jacinthfold/serve/relay.py
+++ b/jacinthfold/serve/relay.py
@@ -336,12 +336,18 @@
         result.ending = Ending.CALLER_GONE
     elif transfer.crossed:
         result.reason = 'the answer was to another request'
-    elif transfer.has_end_marker:
-        result.ending = Ending.WHOLE
-    elif transfer.outlet is not None:
-        result.ending = Ending.CUT
-    elif not turned.request_sent:
-        result.ending = Ending.NOT_RUN
+    else:
+        result.ending = _broken_ending(
+            transfer, request_sent=turned.request_sent
+        )
+
+
+def _broken_ending(transfer: _Transfer, *, request_sent: bool) -> Ending:
+    if transfer.has_end_marker:
+        return Ending.WHOLE
+    if transfer.outlet is not None:
+        return Ending.CUT
+    return Ending.UNKNOWN if request_sent else Ending.NOT_RUN
 
 
 def _judge_answer(transfer: _Transfer) -> None:
--- a/tests/gateway/test_target_headers.py
+++ b/tests/gateway/test_target_headers.py
@@ -20,7 +20,7 @@
 
 @pytest.fixture
 def relaying(deployment):
-    """Provide a host without targets and one beside a target, in two regions."""
+    """Provide a host without targets and one beside them, in two regions."""
     deployment.put_routes(
         route('/order/'),
         route('/review/', 'model', 'stream', resumable=True),
