Send a request again over another connection

Callers got 503, a promise that nothing ran, for requests that ran (REFUSED), and requests that may run once ran twice (TWICE), on four deployments.

Cause: a target rejects a request and keeps the connection; the request waits for a place and goes to the same target again, over the connection used last, which is the same one. A second answer to the first send bears the same identifier, so that it is taken for the answer to the second send: the host reads Not-Executed while the target runs the request, tells the caller so or sends it elsewhere.

Now a connection remembers the requests that it has carried until their deadlines, after which none is sent again, and isn't taken for one of them. This holds between hosts too, and for requests that another host relays twice.

Class: an identifier that names the request and not the send, used to tell answers apart. Looked for elsewhere: the other program (serve) opens a new connection for what may run once.

Soaks and tests ran hosts without a waiting room.

--- a/jacinthfold/proxy/sender.py
+++ b/jacinthfold/proxy/sender.py
@@ -56,6 +56,7 @@
                 sending.endpoint,
                 sending.connect_seconds,
                 must_be_fresh=must_be_fresh,
+                request_id=request.facts.request_id,
             )
         except ConnectFailedError as error:
             return Outcome(Ending.NOT_RUN, f'unreachable: {error}')
@@ -109,6 +110,9 @@
     # From here on the request may have run, however this attempt ends, also by
     # its deadline or because the caller disconnects.
     delivery.mark_in_flight()
+    exchange.channel.sent_requests.add(
+        request.facts.request_id, request.deadline, delivery.last_bytes_at
+    )
     await exchange.send(
         request.method,
         request.target,
--- a/jacinthfold/transport/channel.py
+++ b/jacinthfold/transport/channel.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from jacinthfold.transport.errors import ConnectFailedError, ConnectionLostError
+from jacinthfold.transport.sent_requests import SentRequests
 
 # Reading pauses above this and resumes when the reader has taken the bytes.
 # Callers' bodies are read as they arrive, so it limits the memory held for a
@@ -39,6 +40,7 @@
         self.on_peer_closed: Callable[[], object] | None = None
         self.on_data: Callable[[], object] | None = None
         self.local_address = ''
+        self.sent_requests = SentRequests()
 
     @property
     def is_peer_closed(self) -> bool:
--- a/jacinthfold/transport/pool.py
+++ b/jacinthfold/transport/pool.py
@@ -48,9 +48,15 @@
         connect_timeout_seconds: float,
         *,
         must_be_fresh: bool,
+        request_id: str = '',
     ) -> Channel:
-        """Return an idle or new connection; raise ConnectFailedError."""
-        channel = self._take_idle(endpoint, must_be_fresh=must_be_fresh)
+        """Return an idle or new connection; raise ConnectFailedError.
+
+        It has not carried the request before.
+        """
+        channel = self._take_idle(
+            endpoint, request_id, must_be_fresh=must_be_fresh
+        )
         if channel is not None:
             return channel
         self.opened_count += 1
@@ -65,7 +71,8 @@
         if idle_seconds is not None:
             seconds = idle_seconds - IDLE_MARGIN_SECONDS
         idle_connections = self._idle.setdefault(endpoint, [])
-        if seconds <= 0 or len(idle_connections) >= MAX_IDLE_PER_ENDPOINT:
+        is_kept = seconds > 0 and not channel.sent_requests.is_full
+        if not is_kept or len(idle_connections) >= MAX_IDLE_PER_ENDPOINT:
             channel.close()
             return
         idle = _IdleConnection(channel, now, now + seconds)
@@ -99,15 +106,16 @@
             self.sweep()
 
     def _take_idle(
-        self, endpoint: Endpoint, *, must_be_fresh: bool
+        self, endpoint: Endpoint, request_id: str, *, must_be_fresh: bool
     ) -> Channel | None:
         now = self._clock.monotonic()
         idle_connections = self._idle.get(endpoint, [])
-        while idle_connections:
-            idle = idle_connections[-1]
+        for idle in list(reversed(idle_connections)):
             if must_be_fresh and now - idle.since > MAX_FRESH_IDLE_SECONDS:
                 return None
-            idle_connections.pop()
+            if request_id in idle.channel.sent_requests:
+                continue
+            idle_connections.remove(idle)
             _detach(idle.channel)
             if idle.until > now and not idle.channel.is_peer_closed:
                 return idle.channel
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -49,6 +49,14 @@
 south-1 = south
 west-1 = west
 """
+# As in deploy/gateway.ini.
+OVERLOAD = """
+[overload]
+answer_lag = on
+water_filling = on
+waiting_requests = 64
+target_places = on
+"""
 LOOPBACK = '127.0.0.1'
 _ids = itertools.count(1)
 
@@ -228,6 +236,7 @@
         seeds='',
         revocation_ms=0,
         cap_slack=0,
+        overload='',
     ):
         address = f'127.0.1.{len(self.hosts) + 1}'
         path = self.directory / f'{name}.ini'
@@ -245,6 +254,7 @@
                 revocation_ms=revocation_ms,
                 cap_slack=cap_slack,
             )
+            + overload
         )
         host = Host(
             name,
