Don't pass on a target's 503 as a promise that nothing ran

Callers of requests that may run once got 408, 429 or 503 although the target had run them (REFUSED): these statuses promise that the request hasn't run and never will, and callers send it again.

Cause: a target's status went to the caller as it was. Only the header that says so tells that a request hasn't run; a 503 without it says nothing. A target that fails after it has begun may answer 503 too.

Now such an answer to a request that may run once counts as unknown: 502, without the target's seal, and the same between hosts. Requests that may be repeated get the target's answer as before, since no promise matters to them.

Class: a status with two meanings, passed on between parties that read it differently.

Evidence: tests/gateway/test_not_run.py, beside the target and relayed, statuses 408, 429 and 503. Whether this was one of the cases on the users' machines can't be told from their record: it is a fault of the same kind that was found on the way.

--- a/jacinthfold/proxy/delivery.py
+++ b/jacinthfold/proxy/delivery.py
@@ -24,6 +24,15 @@
 # Responses other than streams are buffered until they are complete.
 MAX_BUFFERED_BODY_BYTES = 16777216
 EVENT_STREAM_TYPE = b'text/event-stream'
+# Callers take these for a promise that the request has not run and never will.
+PROMISE_STATUSES = frozenset(
+    (
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    )
+)
 
 
 class Delivery:
@@ -150,6 +159,8 @@
         body = await self._timeout.wait(
             exchange.read_body(self.limit_bytes), has_begun=False
         )
+        if self._is_false_promise(head):
+            return Outcome(Ending.UNKNOWN, f'status_{head.status}')
         is_failure = head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
         if self._response.has_started or (is_failure and self._may_retry()):
             reason = f'status_{head.status}'
@@ -230,6 +241,12 @@
         self.last_bytes_at = self._clock.monotonic()
         self.on_activity()
 
+    def _is_false_promise(self, head: ResponseHead) -> bool:
+        # Only the header that says so tells that the request has not run.
+        return (
+            head.status in PROMISE_STATUSES and not self._request.is_repeatable
+        )
+
     def _may_retry(self) -> bool:
         route = self._request.route
         if route.retry_policy is RetryPolicy.NEVER:
--- a/tests/gateway/test_not_run.py
+++ b/tests/gateway/test_not_run.py
@@ -6,7 +6,7 @@
 import pytest
 
 from tests.gateway.deployment import OVERLOAD, route, wait_served
-from tests.gateway.target_standin import Reply, echoed
+from tests.gateway.target_standin import Reply, echoed, not_executed
 
 PROMISES = {408, 421, 429, 503}
 REQUESTS = 12
@@ -24,13 +24,6 @@
     return deployment
 
 
-def not_executed(request):
-    return Reply(
-        503,
-        [('Attempt-Id', request.headers['attempt-id']), ('Not-Executed', '1')],
-    ).wire()
-
-
 class RejectThenRepeat:
     """Reject each request at first, and answer that first send once more.
 
@@ -44,13 +37,14 @@
 
     async def __call__(self, target, request, writer):
         name = request.headers['attempt-id']
+        rejection = Reply(503, not_executed(request)).wire()
         self.sends[name] += 1
         carried = self.carried.setdefault(writer, set())
         if name in carried:
-            writer.write(not_executed(request))
+            writer.write(rejection)
         carried.add(name)
         if self.sends[name] == 1:
-            writer.write(not_executed(request))
+            writer.write(rejection)
             await writer.drain()
             return True
         target.executed.append(request)
@@ -83,3 +77,51 @@
         if runs:
             assert (answer.status, answer.body) == (200, b'ran')
     assert any(one > 1 for one in script.sends.values())
+
+
+@pytest.fixture(params=['north-1', 'south-1'], ids=['own', 'relayed'])
+def one_target(deployment, request):
+    """Provide two hosts in two regions; one has a target beside it."""
+    deployment.put_routes(route('/order/'), route('/quote/', kind='idempotent'))
+    deployment.add_target('i-1', 'desk', request.param)
+    host = deployment.start_host('south-a', 'south-1', overload=OVERLOAD)
+    seeds = ':'.join(str(part) for part in host.control)
+    deployment.start_host('north-a', 'north-1', seeds=seeds, overload=OVERLOAD)
+    for name in ('south-a', 'north-a'):
+        wait_served(deployment, name, '/quote/x', count=5)
+    deployment.targets['i-1'].executed.clear()
+    return deployment
+
+
+def run_and_answer(status):
+    """Return a script that runs a request and answers with a status."""
+
+    async def script(target, request, writer):
+        target.executed.append(request)
+        writer.write(Reply(status, echoed(request), b'ran').wire())
+        await writer.drain()
+        return True
+
+    return script
+
+
+@pytest.mark.parametrize('status', sorted(PROMISES - {421}))
+def test_status_of_a_target_that_ran_a_request_is_no_promise(
+    one_target, status
+):
+    """Guards against a target's 503 that the caller takes for "not run"."""
+    one_target.targets['i-1'].script = run_and_answer(status)
+    answer = one_target.ask(
+        'north-a', '/order/x', 'POST', body=b'order', request_id='order-1'
+    )
+    assert one_target.targets['i-1'].request_ids() == ['order-1']
+    assert answer.status == 502
+    assert 'response-seal' not in answer.headers
+
+
+def test_status_of_a_repeatable_request_is_passed_on(one_target):
+    """A request that may run again needs no promise."""
+    one_target.targets['i-1'].script = run_and_answer(503)
+    answer = one_target.ask('north-a', '/quote/x', request_id='quote-1')
+    assert one_target.targets['i-1'].request_ids()
+    assert (answer.status, answer.body) == (503, b'ran')
