Take a rejection that names no request for nothing on a used connection

A request that may run once ran three times in a test, and its caller was told that it had not run.

Cause: an answer without an identifier was taken for the answer to whatever was sent last. On a kept connection it may be a late answer to another request.

Now an answer is attributed to a request by its identifier, or since the connection has carried nothing else; a rejection that can't be attributed leaves the outcome unknown.

The stand-ins of the tests rejected without an identifier, unlike the protocol; they name it now.

Evidence: tests/gateway/test_not_run.py, the last test. Before: three runs and 200 or 503; after: one run and 502.

--- a/jacinthfold/proxy/outcome.py
+++ b/jacinthfold/proxy/outcome.py
@@ -62,7 +62,11 @@
 def outcome_from_head(head: ResponseHead, *, is_peer: bool) -> Outcome | None:
     """Return the outcome if the response head alone determines it."""
     outcome = _peer_outcome(head) if is_peer else None
-    return outcome or _not_run_outcome(head)
+    outcome = outcome or _not_run_outcome(head)
+    is_not_run = outcome is not None and outcome.ending is Ending.NOT_RUN
+    if is_not_run and not head.is_attributed:
+        return Outcome(Ending.UNKNOWN, 'rejection_without_id')
+    return outcome
 
 
 def _peer_outcome(head: ResponseHead) -> Outcome | None:
--- a/jacinthfold/request/messages.py
+++ b/jacinthfold/request/messages.py
@@ -275,7 +275,14 @@
 class ResponseHead:
     """Hold the status and headers of a response."""
 
-    __slots__ = ('body_end', 'facts', 'headers', 'content_length', 'status')
+    __slots__ = (
+        'body_end',
+        'content_length',
+        'facts',
+        'headers',
+        'is_attributed',
+        'status',
+    )
 
     def __init__(
         self, status: int, headers: Headers, facts: ResponseFacts
@@ -286,6 +293,8 @@
         self.facts = facts
         self.content_length: int | None = None
         self.body_end = BodyEnd.LENGTH
+        # Whether it can't be the late answer to another request.
+        self.is_attributed = True
 
     def end_to_end_headers(self) -> Headers:
         """Return the headers to forward (RFC 9110, section 7.6.1)."""
--- a/jacinthfold/transport/exchange.py
+++ b/jacinthfold/transport/exchange.py
@@ -82,6 +82,8 @@
             await self._skip_response()
             response = await self._next_head()
         self.idle_seconds = response.facts.idle_seconds
+        is_first = self._channel.sent_requests.count <= 1
+        response.is_attributed = is_first or bool(response.facts.request_id)
         return response
 
     async def read_chunk(self) -> bytes | None:
--- a/tests/gateway/soak_pushback.py
+++ b/tests/gateway/soak_pushback.py
@@ -20,6 +20,7 @@
     most_in_a_window,
 )
 from tests.gateway.soak import TARGETS, Restart, Soak, Thaw, main
+from tests.gateway.target_standin import not_executed
 
 LIMITS = (0.5, 1.2, 3.0, 8.0)
 UNREADABLE = ('0', '-3', 'nan', '9' * 400, 'soon')
@@ -155,7 +156,10 @@
     async def serve(self, whole, target, request, writer, source):
         """Refuse."""
         self.refusals.append((time.monotonic(), request.headers['attempt-id']))
-        headers = [('Not-Executed', '1'), ('Retry-After', f'{self.seconds}')]
+        headers = [
+            *not_executed(request),
+            ('Retry-After', f'{self.seconds}'),
+        ]
         writer.write(Reply(503, headers).wire())
         await writer.drain()
         return True
--- a/tests/gateway/target_standin.py
+++ b/tests/gateway/target_standin.py
@@ -25,7 +25,11 @@
         self.arrived += 1
         named = request.headers.get('target-instance')
         if named and named != self.instance:
-            writer.write(Reply(421, [('Served-By', self.instance)]).wire())
+            misdirected = [
+                ('Attempt-Id', request.headers.get('attempt-id', '')),
+                ('Served-By', self.instance),
+            ]
+            writer.write(Reply(421, misdirected).wire())
             return True
         return await self.script(self, request, writer)
 
@@ -47,9 +51,17 @@
     return True
 
 
-async def refuse(_target, _request, writer):
+def not_executed(request):
+    """Return the headers of an answer to a request that has not run."""
+    return [
+        ('Attempt-Id', request.headers.get('attempt-id', '')),
+        ('Not-Executed', '1'),
+    ]
+
+
+async def refuse(_target, request, writer):
     """Say that the request has not run."""
-    writer.write(Reply(503, [('Not-Executed', '1')]).wire())
+    writer.write(Reply(503, not_executed(request)).wire())
     return True
 
 
--- a/tests/gateway/test_not_run.py
+++ b/tests/gateway/test_not_run.py
@@ -125,3 +125,27 @@
     answer = one_target.ask('north-a', '/quote/x', request_id='quote-1')
     assert one_target.targets['i-1'].request_ids()
     assert (answer.status, answer.body) == (503, b'ran')
+
+
+async def reject_another_first(target, request, writer):
+    """Write a rejection that names no request, then run this one."""
+    target.executed.append(request)
+    writer.write(Reply(503, [('Not-Executed', '1')]).wire())
+    await asyncio.sleep(0.02)
+    writer.write(Reply(200, echoed(request), b'ran').wire())
+    await writer.drain()
+    return True
+
+
+def test_rejection_that_names_no_request_is_no_promise_on_a_used_connection(
+    gateway,
+):
+    """Guards against a late answer to another request on a kept connection."""
+    gateway.targets['i-1'].script = reject_another_first
+    connections = gateway.targets['i-1'].connection_count
+    answer = gateway.ask(
+        'north-a', '/order/x', 'POST', body=b'order', request_id='order-1'
+    )
+    assert gateway.targets['i-1'].request_ids() == ['order-1']
+    assert gateway.targets['i-1'].connection_count == connections
+    assert answer.status == 502
--- a/tests/gateway/test_place_limits.py
+++ b/tests/gateway/test_place_limits.py
@@ -5,7 +5,7 @@
 from tests.gateway.deployment import call, pause, route, wait_served
 from tests.gateway.http_server import Reply
 from tests.gateway.limited_targets import Callers
-from tests.gateway.target_standin import echoed
+from tests.gateway.target_standin import echoed, not_executed
 from tools.fleet import wait_until
 
 SLOTS = 2
@@ -30,7 +30,7 @@
         self.arrivals += 1
         if self.in_flight >= PLACES:
             self.rejected += 1
-            writer.write(Reply(503, [('Not-Executed', '1')]).wire())
+            writer.write(Reply(503, not_executed(request)).wire())
             return True
         self.in_flight += 1
         self.most_in_flight = max(self.most_in_flight, self.in_flight)
--- a/tests/gateway/test_target_rest.py
+++ b/tests/gateway/test_target_rest.py
@@ -12,7 +12,7 @@
 from tests.gateway.deployment import pause
 from tests.gateway.http_server import Reply
 from tests.gateway.limited_targets import Callers, born_now, start
-from tests.gateway.target_standin import late, serve_plain
+from tests.gateway.target_standin import late, not_executed, serve_plain
 from tests.gateway.test_placement import Scene
 
 BACKOFF_SECONDS = 3.0
@@ -31,7 +31,10 @@
     async def serve(self, target, request, writer):
         """Reject a request and request a backoff."""
         self.arrivals.append(time.monotonic())
-        headers = [('Not-Executed', '1'), ('Retry-After', f'{BACKOFF_SECONDS}')]
+        headers = [
+            *not_executed(request),
+            ('Retry-After', f'{BACKOFF_SECONDS}'),
+        ]
         writer.write(Reply(503, headers).wire())
         await writer.drain()
         return True
--- a/tests/gateway/test_targets_return.py
+++ b/tests/gateway/test_targets_return.py
@@ -20,9 +20,9 @@
 CALL_SECONDS = 0.05
 
 
-async def reject_with_backoff(_target, _request, writer):
+async def reject_with_backoff(_target, request, writer):
     """Reject with a backoff that ends when the target recovers."""
-    headers = [('Not-Executed', '1'), ('Retry-After', '2')]
+    headers = [*standin.not_executed(request), ('Retry-After', '2')]
     writer.write(Reply(503, headers).wire())
     return True
 
--- a/tests/gateway/test_waiting.py
+++ b/tests/gateway/test_waiting.py
@@ -13,7 +13,7 @@
     tenant,
 )
 from tests.gateway.http_server import Reply
-from tests.gateway.target_standin import serve_plain
+from tests.gateway.target_standin import not_executed, serve_plain
 from tools.fleet import wait_until
 
 KEY = 'a-key-of-north'
@@ -22,9 +22,9 @@
 BACKOFF_SECONDS = 2.0
 
 
-async def reject_for_a_while(_target, _request, writer):
+async def reject_for_a_while(_target, request, writer):
     """Reject a request as not run and ask for a backoff."""
-    headers = [('Not-Executed', '1'), ('Retry-After', f'{BACKOFF_SECONDS}')]
+    headers = [*not_executed(request), ('Retry-After', f'{BACKOFF_SECONDS}')]
     writer.write(Reply(503, headers).wire())
     await writer.drain()
     return True
