Ask other hosts before the only known version counts for a stream

Cause: a host that knew one version of a service, from records younger than 3 s, took it for the one that began any stream. A version that it hasn't heard of is younger than that; its own table, in which the notice of the host that began the stream stood, was looked at only afterwards.

Now the table comes first, then the answers of the hosts that may have been told, and the only version counts last, if none of them knows another one or several. Answers say whether the version is recorded or only inferred; hosts of the version before say neither, and their answers count as recorded, as before.

Class: knowledge that is complete up to a moment, used for what came after it. Looked for elsewhere: an answer to another host was inferred in the same way and is marked now. What is left: a host that is cut from the store and from all hosts of the stream, for up to 3 s; it knows nothing that could contradict it.

A test expected that the own version counts against another host with records as new and another version: that was the fault. The case now expects that the stream goes on nowhere; the case that the other's records are old is added.

Evidence: test_stream_of_a_version_that_a_host_has_not_heard_of, over sockets.

Cost: streams that are taken up ask up to three hosts a region, also with one version, 0.35 s at most if a host that is asked is gone.

--- a/jacinthfold/streams/exchange.py
+++ b/jacinthfold/streams/exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 from collections.abc import Callable
+from contextlib import suppress
 
 from jacinthfold.clock import Clock
 from jacinthfold.fleet.table import HostTable
@@ -28,22 +29,55 @@
 REFRESH_SECONDS = 0.4
 
 
+class Testimony:
+    """Hold what other hosts have answered about a stream."""
+
+    __slots__ = ('inferred', 'is_mixed', 'version')
+
+    def __init__(self) -> None:
+        """Start without answers."""
+        # The version that a host has recorded.
+        self.version: str | None = None
+        # Versions that hosts take for the only one.
+        self.inferred: set[str] = set()
+        # Whether any host knows of several versions.
+        self.is_mixed = False
+
+    def add(self, answer: OriginAnswer) -> None:
+        """Add the answer of a host."""
+        self.is_mixed = self.is_mixed or answer.is_mixed
+        if answer.version is None:
+            return
+        if answer.is_inferred:
+            self.inferred.add(answer.version)
+        else:
+            self.version = answer.version
+
+    def only_version(self, own: str | None) -> str | None:
+        """Return the only version by this host and others, None if unsure.
+
+        This host knows of none if its records are old.
+        """
+        versions = self.inferred.union([own] if own else [])
+        is_sure = len(versions) == 1 and not self.is_mixed
+        return next(iter(versions)) if is_sure else None
+
+
 class _PendingQuery:
     """Hold a query and the hosts that have not answered it."""
 
-    __slots__ = ('open_endpoints', 'result')
+    __slots__ = ('is_over', 'open_endpoints', 'testimony')
 
     def __init__(self, endpoints: set[Endpoint]) -> None:
         self.open_endpoints = endpoints
-        self.result: asyncio.Future[str | None] = (
-            asyncio.get_running_loop().create_future()
-        )
+        self.testimony = Testimony()
+        self.is_over = asyncio.Event()
 
-    def apply(self, endpoint: Endpoint, version: str | None) -> None:
+    def apply(self, endpoint: Endpoint, answer: OriginAnswer) -> None:
         self.open_endpoints.discard(endpoint)
-        is_last = not self.open_endpoints
-        if not self.result.done() and (version is not None or is_last):
-            self.result.set_result(version)
+        self.testimony.add(answer)
+        if not self.open_endpoints or self.testimony.version is not None:
+            self.is_over.set()
 
 
 class OriginExchange:
@@ -80,8 +114,8 @@
                 notice = OriginNotice(service, version, held)
                 self.send(encode(OriginDatagram(notices=[notice])), endpoint)
 
-    async def ask(self, service: str, attempt: int) -> str | None:
-        """Return the version that began a stream, None if no host knows."""
+    async def ask(self, service: str, attempt: int) -> Testimony:
+        """Return what the hosts that may know tell of a stream."""
         self._refresh()
         endpoints = {
             endpoint
@@ -89,17 +123,18 @@
             if (endpoint := self._hosts.endpoint_of(name)) is not None
         }
         if not endpoints or len(self._pending) >= MAX_PENDING_QUERIES:
-            return None
+            return Testimony()
         query = OriginQuery(next(self._numbers), service, attempt)
         pending = _PendingQuery(endpoints)
         self._pending[query.number] = pending
         try:
             async with asyncio.timeout(QUERY_TIMEOUT_SECONDS):
-                return await self._resend_until_answered(query, pending)
+                await self._resend_until_answered(query, pending)
         except TimeoutError:
-            return None
+            return pending.testimony
         finally:
             self._pending.pop(query.number)
+        return pending.testimony
 
     def handle_datagram(self, content: bytes, sender: Endpoint) -> None:
         """Apply a datagram of another host; raise ValueError."""
@@ -107,33 +142,34 @@
         for notice in datagram.notices:
             for attempt in notice.attempts[:MAX_NOTICE_ATTEMPTS]:
                 self._table.record(attempt, notice.service, notice.version)
-        answers = [
-            OriginAnswer(one.number, self._version(one))
-            for one in datagram.queries
-        ]
+        answers = [self._answer(one) for one in datagram.queries]
         if answers:
             self.send(encode(OriginDatagram(answers=answers)), sender)
         for answer in datagram.answers:
             pending = self._pending.get(answer.number)
             if pending is not None and sender in pending.open_endpoints:
-                pending.apply(sender, answer.version)
+                pending.apply(sender, answer)
 
     async def _resend_until_answered(
         self, query: OriginQuery, pending: _PendingQuery
-    ) -> str | None:
-        while True:
+    ) -> None:
+        while not pending.is_over.is_set():
             content = encode(OriginDatagram(queries=[query]))
             for endpoint in list(pending.open_endpoints):
                 self.send(content, endpoint)
-            done, _ = await asyncio.wait(
-                [pending.result], timeout=QUERY_RESEND_SECONDS
-            )
-            if done:
-                return pending.result.result()
-
-    def _version(self, query: OriginQuery) -> str | None:
-        found = self._table.version(query.attempt, query.service)
-        return found or self._versions.proven_only(query.service)
+            with suppress(TimeoutError):
+                async with asyncio.timeout(QUERY_RESEND_SECONDS):
+                    await pending.is_over.wait()
+
+    def _answer(self, query: OriginQuery) -> OriginAnswer:
+        recorded = self._table.version(query.attempt, query.service)
+        only = self._versions.proven_only(query.service)
+        return OriginAnswer(
+            query.number,
+            recorded or only,
+            is_inferred=recorded is None,
+            is_mixed=self._versions.is_mixed(query.service),
+        )
 
     def _refresh(self) -> None:
         now = self._clock.monotonic()
--- a/jacinthfold/streams/messages.py
+++ b/jacinthfold/streams/messages.py
@@ -28,6 +28,10 @@
 
     number: int
     version: str | None
+    # Whether the version is only the one that the host knows of.
+    is_inferred: bool = False
+    # Whether the host knows of several versions.
+    is_mixed: bool = False
 
 
 class OriginDatagram(msgspec.Struct, array_like=True):
--- a/jacinthfold/streams/origins.py
+++ b/jacinthfold/streams/origins.py
@@ -60,7 +60,7 @@
         is_new = self.table.record(attempt, service, origin.software_version)
         # With one version, any host knows where each stream may go on.
         if is_new and self._versions.is_mixed(service):
-            self.exchange.tell(service, origin.software_version, [attempt])
+            self._tell(service, origin.software_version, [attempt])
 
     async def resolve(self, request: Request) -> None:
         """Find where a stream began that its caller takes up."""
@@ -89,15 +89,20 @@
         self, service: str, attempt_id: str
     ) -> tuple[str | None, str]:
         """Return the version that began a stream, and who told it."""
-        only = self._versions.proven_only(service)
-        if only is not None:
-            return only, 'only'
         attempt = attempt_key(attempt_id)
         version = self.table.version(attempt, service)
         if version is not None:
             return version, 'own'
-        version = await self.exchange.ask(service, attempt)
-        return version, 'unknown' if version is None else 'asked'
+        # A version that has just come may not be known here yet, but it is to
+        # the host that began the stream, and to those that it has told.
+        testimony = await self.exchange.ask(service, attempt)
+        if testimony.version is not None:
+            return testimony.version, 'asked'
+        only = testimony.only_version(self._versions.proven_only(service))
+        return only, 'unknown' if only is None else 'only'
+
+    def _tell(self, service: str, version: str, attempts: list[int]) -> None:
+        self.exchange.tell(service, version, attempts)
 
     def _tell_recent(self, service: str) -> None:
         """Tell other hosts of streams that began at the only version."""
@@ -105,4 +110,4 @@
         for attempt, version in self.table.newest(service, MAX_TOLD_AT_ONCE):
             by_version.setdefault(version, []).append(attempt)
         for version, attempts in by_version.items():
-            self.exchange.tell(service, version, attempts)
+            self._tell(service, version, attempts)
--- a/tests/gateway/test_stream_origin.py
+++ b/tests/gateway/test_stream_origin.py
@@ -365,7 +365,7 @@
         exchange.handle_datagram(messages.encode(datagram), (f'ip-{sender}', 2))
 
     exchange.send = answer
-    assert asyncio.run(exchange.ask('model', 7)) == version
+    assert asyncio.run(exchange.ask('model', 7)).version == version
 
 
 def taken_up(scene, resumes='first'):
@@ -379,7 +379,7 @@
 
 @pytest.mark.parametrize(
     ('own_age', 'other_age', 'version'),
-    [(0.5, 0.5, 'v1'), (9.0, 0.5, 'v2'), (9.0, 9.0, None)],
+    [(0.5, 9.0, 'v1'), (0.5, 0.5, None), (9.0, 0.5, 'v2'), (9.0, 9.0, None)],
 )
 def test_host_with_old_records_does_not_trust_the_only_version(
     own_age, other_age, version
@@ -395,10 +395,16 @@
     other.targets.versions.knowledge_age = lambda: other_age
     a, b = host('a'), host('b')
     asker = StreamOrigins(
-        hosts_of(a, [b], scene.clock), scene.targets.versions, None, scene.clock
+        hosts_of(a, [b], scene.clock),
+        scene.targets.versions,
+        None,
+        scene.clock,
     )
     asked = StreamOrigins(
-        hosts_of(b, [a], scene.clock), other.targets.versions, None, scene.clock
+        hosts_of(b, [a], scene.clock),
+        other.targets.versions,
+        None,
+        scene.clock,
     )
     asker.exchange.send = lambda content, _: asked.exchange.handle_datagram(
         content, ('ip-a', 2)
--- a/tests/gateway/test_streams_taken_up.py
+++ b/tests/gateway/test_streams_taken_up.py
@@ -5,8 +5,15 @@
 import pytest
 
 from tests.gateway import versioned_streams as streams
-from tests.gateway.deployment import Connection, call, new_id
+from tests.gateway.deployment import (
+    LOOPBACK,
+    Connection,
+    call,
+    new_id,
+    pause,
+)
 from tools.fleet import wait_until
+from tools.proxy import Proxy
 
 HOSTS = (('north-a', 'north-1'), ('north-b', 'north-1'), ('south-a', 'south-1'))
 TARGETS = ('v1-north-1', 'v2-north-2', 'v1-north-3', 'v2-north-4')
@@ -241,3 +248,47 @@
         assert len(streams.versions_of(one.first_body, answer.body)) == 1
         went_on += answer.status == 200 and answer.is_whole
     assert went_on >= len(begun) / 2
+
+
+def test_stream_of_a_version_that_a_host_has_not_heard_of(deployment):
+    """Guards against a host that takes the version it knows for the only one.
+
+    The store turns the host away before the second version comes, and its
+    records are still young when a stream of that version is taken up.
+    """
+    streams.add_targets(deployment, 'v1-north-1')
+    first = deployment.make_host('north-a')
+    door = Proxy(*deployment.store.address)
+    direct, deployment.store_address = (
+        deployment.store_address,
+        (LOOPBACK, door.port),
+    )
+    seeds = ':'.join(str(part) for part in first.control)
+    deployment.make_host('north-b', seeds=seeds)
+    deployment.store_address = direct
+    deployment.put_routes(
+        streams.route('/review/', 'model', 'stream', resumable=True)
+    )
+    for name in ('north-a', 'north-b'):
+        deployment.hosts[name].start()
+        deployment.wait_ready(name)
+    streams.set_scripts(deployment, pause_seconds=0.03)
+    wait_until(
+        lambda: streams.ask(deployment, 'north-b').status == 200, 'it serves'
+    )
+    pause(1.0)
+    door.cut(reset=True)
+    streams.add_targets(deployment, 'v2-north-2')
+    deployment.put_target('v1-north-1', 'model', state='draining')
+    streams.set_scripts(deployment, pause_seconds=0.03)
+    joined = []
+    for _ in range(40):
+        begun = streams.TakenUp(deployment, 'north-a', pieces=2)
+        if streams.versions_of(begun.first_body) == {'v2'}:
+            answer = begun.go_on('north-b')
+            joined.append(
+                streams.versions_of(begun.first_body, answer.body) != {'v2'}
+            )
+    door.close()
+    assert joined
+    assert not any(joined)
