Store where streams began, for the case that all hosts end at once

Cause: where a stream began stood in the memory of the host that began it and of two or three others. When all of them end, nobody knows, just when callers return.

Now a host that begins a stream of a service with several versions also writes so to the metadata store: in batches, every 0.05 s with 8 hosts, with all hosts at most 160 writes a second, in four records that are replaced in turn and end with their lease, one set for each start of the host. Hosts list them as they start and search them when a stream is taken up, before they ask others. With one version nothing is written.

Class: state that outlives a process kept in processes alone. Looked for elsewhere: versions, quarantine and caps are in the store; prefixes and loads may be lost.

--- a/jacinthfold/catalogue/listeners.py
+++ b/jacinthfold/catalogue/listeners.py
@@ -40,6 +40,9 @@
     def on_versions(self, service: str, versions: tuple[str, ...]) -> None:
         """Handle the versions in a service's record, none if it is gone."""
 
+    def on_origins(self, name: str, content: bytes | None) -> None:
+        """Handle a record of where streams began, None if it is gone."""
+
     def on_restored(self) -> None:
         """Write again what the store has lost, which came back from a copy."""
 
@@ -89,6 +92,7 @@
             RecordKind.QUARANTINE: self._notify_quarantine,
             RecordKind.ISSUER: self._notify_issuer,
             RecordKind.VERSIONS: self._notify_versions,
+            RecordKind.ORIGINS: self._notify_origins,
         }
         if kind in notifiers:
             notifiers[kind](name, record)
@@ -149,6 +153,10 @@
         for listener in self.listeners:
             listener.on_issuer(name, record)
 
+    def _notify_origins(self, name: str, record: Record) -> None:
+        for listener in self.listeners:
+            listener.on_origins(name, record.content)
+
     def _notify_versions(self, name: str, record: Record) -> None:
         versions: tuple[str, ...] = ()
         service = self._services.get(name, '')
--- a/jacinthfold/catalogue/metadata.py
+++ b/jacinthfold/catalogue/metadata.py
@@ -96,6 +96,11 @@
     ) -> None:
         """Write records of services' software versions."""
 
+    async def write_origins(
+        self, contents: Mapping[str, bytes], lease: Lease
+    ) -> None:
+        """Write records of where streams began."""
+
     async def create_quarantine(self, name: str, content: bytes) -> None:
         """Create a permanent record; raise MetadataConflictError."""
 
--- a/jacinthfold/catalogue/record.py
+++ b/jacinthfold/catalogue/record.py
@@ -32,6 +32,7 @@
     QUARANTINE = 'quarantine'
     ISSUER = 'issuer'
     VERSIONS = 'versions'
+    ORIGINS = 'origins'
     OTHER = 'other'
 
 
--- a/jacinthfold/gateway/cluster_view.py
+++ b/jacinthfold/gateway/cluster_view.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-from typing import Any
 
 from jacinthfold import logs
 from jacinthfold.catalogue import host_codec, record
@@ -28,6 +27,7 @@
 from jacinthfold.placement.regions import RegionView
 from jacinthfold.placement.targets import TargetTable
 from jacinthfold.quarantine.quarantine import Quarantine
+from jacinthfold.streams.stored_origins import StoredOrigins
 from jacinthfold.transport.http_call import PooledHttpClient
 from jacinthfold.transport.pool import ConnectionPool
 
@@ -58,6 +58,7 @@
         source = random.Random()
         self.pool = ConnectionPool(clock)
         self.hosts = HostTable(own, clock)
+        self.stored_origins = StoredOrigins()
         self.targets = TargetTable(
             settings.data_centres, clock, settings.leaving_limit
         )
@@ -184,6 +185,10 @@
         """Apply the record of a service's software versions."""
         self.targets.versions.apply_record(service, versions)
 
+    def on_origins(self, name: str, content: bytes | None) -> None:
+        """Apply a record of where streams began."""
+        self.stored_origins.apply(name, content)
+
     def on_restored(self) -> None:
         """Write again what a store that came back from a copy has lost."""
         self.quarantine.write_again()
@@ -204,7 +209,7 @@
             self._log_latency_models()
             self.quarantine.suspects.expire_if_due()
 
-    def dump_state(self) -> dict[str, Any]:
+    def dump_state(self) -> dict[str, object]:
         """Return the state of this host for operators."""
         now = self._clock.monotonic()
         table = self.catalogue.routes
--- a/jacinthfold/gateway/node.py
+++ b/jacinthfold/gateway/node.py
@@ -64,7 +64,11 @@
         own = own_record(settings)
         self._view = ClusterView(own, settings, adapter, http_client, clock)
         self._origins = StreamOrigins(
-            self._view.hosts, self._view.targets.versions, adapter.store, clock
+            self._view.hosts,
+            self._view.targets.versions,
+            adapter.store,
+            self._view.stored_origins,
+            clock,
         )
         self._origins.connect(self._view.heartbeats, self._view.follower)
         self._build_listeners(adapter)
@@ -186,6 +190,7 @@
             view.quarantine.key_creator.run,
             view.quarantine.writer.run,
             self._origins.version_writer.run,
+            self._origins.origin_writer.run,
             self._watch_settings,
         ):
             self._start_task(supervised(background_task))
--- a/jacinthfold/platform/documents.py
+++ b/jacinthfold/platform/documents.py
@@ -22,6 +22,7 @@
 QUARANTINE_PREFIX = 'quarantine/'
 ISSUER_PREFIX = 'issuers/'
 VERSIONS_PREFIX = 'versions/'
+ORIGINS_PREFIX = 'streams/'
 # Errors raised by decoding a document of an unexpected structure.
 MALFORMED_ERRORS = (
     ValueError,
@@ -50,6 +51,7 @@
             (QUARANTINE_PREFIX, RecordKind.QUARANTINE),
             (ISSUER_PREFIX, RecordKind.ISSUER),
             (VERSIONS_PREFIX, RecordKind.VERSIONS),
+            (ORIGINS_PREFIX, RecordKind.ORIGINS),
         ):
             if key.startswith(prefix):
                 return kind, key.removeprefix(prefix)
--- a/jacinthfold/platform/store.py
+++ b/jacinthfold/platform/store.py
@@ -26,6 +26,7 @@
 from jacinthfold.platform.documents import (
     HOST_PREFIX,
     ISSUER_PREFIX,
+    ORIGINS_PREFIX,
     QUARANTINE_PREFIX,
     ROUTES_KEY,
     VERSIONS_PREFIX,
@@ -165,6 +166,12 @@
         """Write records of services' software versions."""
         await self._write_under(VERSIONS_PREFIX, contents, lease)
 
+    async def write_origins(
+        self, contents: Mapping[str, bytes], lease: Lease
+    ) -> None:
+        """Write records of where streams began."""
+        await self._write_under(ORIGINS_PREFIX, contents, lease)
+
     async def create_quarantine(self, name: str, content: bytes) -> None:
         """Create a permanent quarantine record; raise MetadataConflictError."""
         key = f'{QUARANTINE_PREFIX}{name}'
--- a/jacinthfold/streams/origins.py
+++ b/jacinthfold/streams/origins.py
@@ -12,6 +12,8 @@
 from jacinthfold.request.stream_origin import StreamOrigin
 from jacinthfold.streams.exchange import OriginExchange
 from jacinthfold.streams.messages import ORIGIN_MARK, attempt_key
+from jacinthfold.streams.origin_writer import OriginWriter
+from jacinthfold.streams.stored_origins import StoredOrigins
 from jacinthfold.streams.table import OriginTable
 from jacinthfold.streams.version_writer import VersionWriter
 
@@ -28,13 +30,16 @@
         hosts: HostTable,
         versions: SoftwareVersions,
         store: MetadataStore,
+        stored: StoredOrigins,
         clock: Clock,
     ) -> None:
-        """Use the versions of each service and the hosts to tell and ask."""
+        """Use the versions of each service, and the hosts and the store."""
         self._versions = versions
         self.table = OriginTable(clock, lambda: versions.retention)
         self.exchange = OriginExchange(hosts, self.table, versions, clock)
         self.version_writer = VersionWriter(store, versions)
+        self.origin_writer = OriginWriter(hosts, store, versions, clock)
+        self._stored = stored
         versions.on_mixed = self._tell_recent
 
     def connect(self, heartbeats: Heartbeats, follower: Follower) -> None:
@@ -93,6 +98,9 @@
         version = self.table.version(attempt, service)
         if version is not None:
             return version, 'own'
+        version = self._stored.version(attempt, service)
+        if version is not None:
+            return version, 'stored'
         # A version that has just come may not be known here yet, but it is to
         # the host that began the stream, and to those that it has told.
         testimony = await self.exchange.ask(service, attempt)
@@ -103,6 +111,7 @@
 
     def _tell(self, service: str, version: str, attempts: list[int]) -> None:
         self.exchange.tell(service, version, attempts)
+        self.origin_writer.add(service, version, attempts)
 
     def _tell_recent(self, service: str) -> None:
         """Tell other hosts of streams that began at the only version."""
--- a/tests/gateway/test_stream_origin.py
+++ b/tests/gateway/test_stream_origin.py
@@ -30,6 +30,7 @@
 from jacinthfold.streams.exchange import OriginExchange
 from jacinthfold.streams.holders import HOLDERS, LARGE_FLEET_HOLDERS, Holders
 from jacinthfold.streams.origins import StreamOrigins
+from jacinthfold.streams.stored_origins import StoredOrigins
 from tests.fakes import FakeClock
 from tests.gateway.test_placement import Scene, prompt
 
@@ -398,12 +399,14 @@
         hosts_of(a, [b], scene.clock),
         scene.targets.versions,
         None,
+        StoredOrigins(),
         scene.clock,
     )
     asked = StreamOrigins(
         hosts_of(b, [a], scene.clock),
         other.targets.versions,
         None,
+        StoredOrigins(),
         scene.clock,
     )
     asker.exchange.send = lambda content, _: asked.exchange.handle_datagram(
--- a/tests/gateway/test_streams_taken_up.py
+++ b/tests/gateway/test_streams_taken_up.py
@@ -250,6 +250,26 @@
     assert went_on >= len(begun) / 2
 
 
+def test_streams_go_on_after_all_hosts_were_killed(fleet):
+    """Guards against knowledge that is lost with all hosts at once.
+
+    The streams began longer ago than hosts take to store it.
+    """
+    begun = [streams.TakenUp(fleet, 'north-a') for _ in range(12)]
+    wait_until(
+        lambda: sum(key.startswith('streams/') for key in fleet.store.items),
+        'where the streams began is stored',
+    )
+    pause(1.5)
+    restart(fleet, *(name for name, _ in HOSTS))
+    answers = [one.go_on('north-b') for one in begun]
+    for one, answer in zip(begun, answers, strict=True):
+        assert answer.status == 200
+        assert len(streams.versions_of(one.first_body, answer.body)) == 1
+        numbers = streams.numbers_of(one.first_body, answer.body)
+        assert numbers == list(range(1, streams.TOTAL + 1))
+
+
 def test_stream_of_a_version_that_a_host_has_not_heard_of(deployment):
     """Guards against a host that takes the version it knows for the only one.
 
