Bound answers that never end, in all forms

A target in trouble may send bytes that are no answer without end, in a head or a body, until the caller closes. Hosts have 160 to 552 MB.

Now answers of more than 256 KiB share 32 MB, an event may have 1 MiB, a rejection 64 KiB and 16 interim responses may come before an answer. What is over that ends as unknown or broken off, and its connection is closed. Small answers aren't counted, so that sound ones pass beside large ones.

Class: limits for one of many.

--- a/jacinthfold/proxy/events.py
+++ b/jacinthfold/proxy/events.py
@@ -1,7 +1,11 @@
 """Split a stream of server-sent events to forward only complete ones."""
 
+from jacinthfold.transport.errors import MalformedResponseError
+
 # A line ends with LF, CRLF or CR; the second one also ends CRLF CRLF.
 _BLANK_LINES = (b'\n\n', b'\n\r\n', b'\r\r')
+# Far above any event; a target that fails may send one without end.
+MAX_EVENT_BYTES = 1048576
 _ID_FIELD = b'id:'
 _COMMENT = b':'
 
@@ -29,17 +33,23 @@
         )
 
     def feed(self, content: bytes) -> bytes:
-        """Return the events that these bytes complete."""
+        """Return the events that these bytes complete.
+
+        Raise MalformedResponseError if an event is too large.
+        """
         self._incomplete += content
         wanted_events: list[bytes] = []
         while True:
             end = _event_end(self._incomplete)
             if end < 0:
-                return b''.join(wanted_events)
+                break
             event = self._incomplete[:end]
             self._incomplete = self._incomplete[end:]
             if self._is_wanted(event):
                 wanted_events.append(event)
+        if len(self._incomplete) > MAX_EVENT_BYTES:
+            raise MalformedResponseError(f'event over {MAX_EVENT_BYTES} bytes')
+        return b''.join(wanted_events)
 
     def _is_wanted(self, event: bytes) -> bool:
         event_id = _event_id(event)
--- a/jacinthfold/proxy/sender.py
+++ b/jacinthfold/proxy/sender.py
@@ -15,6 +15,9 @@
 from jacinthfold.transport.exchange import Exchange
 from jacinthfold.transport.pool import ConnectionPool
 
+# Rejections have short bodies, if any.
+REJECTION_LIMIT_BYTES = 65536
+
 
 class Sender:
     """Take a send through its steps, and release its connection."""
@@ -125,7 +128,7 @@
     if delivery.is_prepared:
         return outcome or _failure(sending.head)
     if outcome is not None:
-        await exchange.read_body(delivery.limit_bytes)
+        await exchange.read_body(REJECTION_LIMIT_BYTES)
     return outcome
 
 
--- a/jacinthfold/transport/exchange.py
+++ b/jacinthfold/transport/exchange.py
@@ -10,6 +10,7 @@
     first_header,
 )
 from jacinthfold.request.numbers import excerpt
+from jacinthfold.transport.body_buffer import BodyBuffer, process_buffers
 from jacinthfold.transport.channel import Channel
 from jacinthfold.transport.dialect import Dialect
 from jacinthfold.transport.errors import (
@@ -22,6 +23,8 @@
 MAX_CONTENT_LENGTH_BYTES = 2**40
 # Responses to earlier requests that are skipped on a connection.
 STRAY_ANSWER_LIMIT = 2
+# Interim responses that are skipped before the final one.
+INFORMATIONAL_LIMIT = 16
 _MAX_LENGTH_DIGITS = 20
 
 
@@ -98,14 +101,12 @@
 
     async def read_body(self, limit_bytes: int) -> bytes:
         """Return the whole body; raise ProxyError."""
-        body = bytearray()
-        while True:
-            chunk = await self.read_chunk()
-            if chunk is None:
-                return bytes(body)
-            body += chunk
-            if len(body) > limit_bytes:
-                raise MalformedResponseError(f'body over {limit_bytes} bytes')
+        with BodyBuffer(process_buffers, limit_bytes) as buffer:
+            while True:
+                chunk = await self.read_chunk()
+                if chunk is None:
+                    return buffer.content()
+                buffer.add(chunk)
 
     def may_reuse(self) -> bool:
         """Check whether the connection can be used for another request."""
@@ -127,7 +128,11 @@
 
     async def _next_head(self) -> ResponseHead:
         event = await self._next_event()
+        informational_count = 0
         while isinstance(event, h11.InformationalResponse):
+            informational_count += 1
+            if informational_count > INFORMATIONAL_LIMIT:
+                raise MalformedResponseError('informational responses only')
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             raise MalformedResponseError(f'{event!r} instead of a response')
