Name long prefixes by a digest

Cause: a prefix was named by the names of all its parts, joined. A prompt's names grew with the square of its parts, and tables and messages that hold so many names held any number of bytes.

Now a name of more than 64 characters is replaced by a digest of 12 bytes, before the next part is added to it. Names of short prompts stay as they were, so that hosts of the version before know them.

Class: tables bounded by number whose entries callers size.

Evidence: test_names_of_long_prompts_stay_short (fails before: names of 11,700 characters).

--- a/jacinthfold/request/messages.py
+++ b/jacinthfold/request/messages.py
@@ -4,6 +4,7 @@
 from http import HTTPStatus
 
 from jacinthfold.catalogue.model import RetryPolicy, Route
+from jacinthfold.hashing import bounded_name
 from jacinthfold.organisations.model import Organisation
 from jacinthfold.request.stream_origin import StreamOrigin
 
@@ -97,7 +98,7 @@
             prefixes = []
             name, tokens = '', 0
             for segment in self.prefix_segments:
-                name = f'{name}/{segment.name}'
+                name = bounded_name(f'{name}/{segment.name}')
                 tokens += segment.tokens
                 prefixes.append(PromptPrefix(name, tokens))
             self._prefixes = tuple(prefixes)
--- a/tests/gateway/test_kept.py
+++ b/tests/gateway/test_kept.py
@@ -59,3 +59,20 @@
     uses.record_use('i-2', '/b', 1.5)
     assert uses.by_incarnation(1.6) == {'i-1': ['/a'], 'i-2': ['/b']}
     assert uses.by_incarnation(1.1 + USE_REPORT_SECONDS) == {'i-2': ['/b']}
+
+
+def test_names_of_long_prompts_stay_short():
+    """Guards against tables and heartbeats that long prompts fill."""
+    names = [f'{number:08x}' for number in range(1300)]
+    prefixes = prefixes_of(*names)
+    assert max(len(prefix.name) for prefix in prefixes) <= 64
+    assert len({prefix.name for prefix in prefixes}) == len(names)
+    # Prompts with the same beginning share its names.
+    other = prefixes_of(*names[:700], 'other', *names[701:])
+    assert [one.name for one in other[:700]] == [
+        one.name for one in prefixes[:700]
+    ]
+    assert not {one.name for one in other[700:]} & {
+        one.name for one in prefixes
+    }
+    assert len(prefixes_of('x' * 9000)[0].name) <= 64
