Leave estimates out of heartbeats that are too large, and say so

Hosts whose heartbeats reached 60,000 bytes sent none, without a word: the others of their region took them for gone, and each took a target's whole limit for its own (LIMIT).

Cause: send() dropped what didn't fit a datagram silently.

Now a heartbeat that is too large leaves out what only estimates are made from, recent prefixes first; limits, trials, crashes, states and proofs always stay. What is left out or dropped is logged at the rate of other failed sends and counted in the state dump.

Evidence: test_large_heartbeat_keeps_what_limits_depend_on. Before: none is sent (fails); after: loads and limits arrive.

--- a/jacinthfold/fleet/heartbeat_message.py
+++ b/jacinthfold/fleet/heartbeat_message.py
@@ -84,6 +84,8 @@
     b'{"host":{"name":"front-","incarnation":1,"region":"","data_centre":"",'
     b'"address":"10.","ports":['
 )
+# Fields without which hosts keep all limits, those that matter least first.
+ESTIMATE_FIELDS = ('uses', 'laws', 'read_tokens', 'loads')
 COMPRESSED_MARK = b'\x01'
 DIGEST_MARK = b'\x02'
 COMPRESSION_LEVEL = 6
@@ -99,6 +101,25 @@
     return msgspec.json.encode(heartbeat)
 
 
+def encode_bounded(
+    heartbeat: Heartbeat, max_bytes: int
+) -> tuple[bytes, list[str]]:
+    """Return a heartbeat of limited size, and the fields that were left out.
+
+    Only fields that serve estimates are left out. One that is larger without
+    them is returned as it is.
+    """
+    content = encode(heartbeat)
+    left_out: list[str] = []
+    for field in ESTIMATE_FIELDS:
+        if len(content) < max_bytes:
+            break
+        left_out.append(field)
+        emptied: dict[str, dict[str, object]] = {one: {} for one in left_out}
+        content = encode(msgspec.structs.replace(heartbeat, **emptied))
+    return content, left_out
+
+
 def compress_heartbeat(content: bytes) -> bytes:
     """Return an encoded heartbeat compressed, with its mark."""
     return COMPRESSED_MARK + deflate(content)
--- a/jacinthfold/fleet/heartbeats.py
+++ b/jacinthfold/fleet/heartbeats.py
@@ -24,7 +24,7 @@
     Heartbeat,
     compress_heartbeat,
     decode,
-    encode,
+    encode_bounded,
 )
 from jacinthfold.fleet.table import HostEntry, HostState, HostTable
 from jacinthfold.placement import limit_reports, trial_reports
@@ -104,6 +104,9 @@
         self._is_collected = False
         self._send_error_count = 0
         self._send_error_logged_at = float('-inf')
+        # Datagrams that were too large, and heartbeats without some fields.
+        self.dropped_count = 0
+        self.reduced_count = 0
         self._random = random.Random()
         self.seeds: tuple[Endpoint, ...] = ()
         # Handlers of other datagrams on the same socket, by first byte.
@@ -169,22 +172,35 @@
 
         The host table notices dead hosts by itself, from their silence.
         """
+        self._log_not_sent(repr(exc))
+
+    def send(self, content: bytes, endpoint: Endpoint) -> None:
+        """Send a datagram to another host."""
+        if self._transport is None:
+            return
+        if len(content) >= MAX_DATAGRAM_BYTES:
+            self.dropped_count += 1
+            self._log_not_sent(f'datagram of {len(content)} bytes')
+            return
+        self._transport.sendto(content, endpoint)
+
+    def _log_not_sent(self, reason: str) -> None:
         self._send_error_count += 1
         now = self._clock.monotonic()
         if now - self._send_error_logged_at < SEND_ERROR_LOG_INTERVAL_SECONDS:
             return
         logs.warning(
-            'heartbeats_not_sent',
-            count=self._send_error_count,
-            reason=repr(exc),
+            'heartbeats_not_sent', count=self._send_error_count, reason=reason
         )
         self._send_error_logged_at = now
         self._send_error_count = 0
 
-    def send(self, content: bytes, endpoint: Endpoint) -> None:
-        """Send a datagram to another host."""
-        if self._transport is not None and len(content) < MAX_DATAGRAM_BYTES:
-            self._transport.sendto(content, endpoint)
+    def _encode(self, heartbeat: Heartbeat) -> bytes:
+        content, left_out = encode_bounded(heartbeat, MAX_DATAGRAM_BYTES)
+        if left_out:
+            self.reduced_count += 1
+            self._log_not_sent(f'left out of a heartbeat: {",".join(left_out)}')
+        return content
 
     def _interval_seconds(self) -> float:
         if self._is_collected and self._digest_view.includes_own():
@@ -212,7 +228,7 @@
     def _send_to_own_region(self) -> None:
         heartbeat = self._own_region_heartbeat()
         self._aggregator.add(heartbeat, self._clock.monotonic())
-        content = encode(heartbeat)
+        content = self._encode(heartbeat)
         if not self._is_collected:
             self._send_to(self._hosts.others_in_own_region(), content)
             return
@@ -257,8 +273,8 @@
 
     def _encoded_heartbeat(self, *, is_near: bool = True) -> bytes:
         if is_near:
-            return encode(self._own_region_heartbeat())
-        return encode(self.builder.for_other_regions(self._count))
+            return self._encode(self._own_region_heartbeat())
+        return self._encode(self.builder.for_other_regions(self._count))
 
     def _own_region_heartbeat(self) -> Heartbeat:
         is_full = self._count % FULL_INTERVAL_HEARTBEATS == 0
--- a/jacinthfold/gateway/cluster_view.py
+++ b/jacinthfold/gateway/cluster_view.py
@@ -222,6 +222,8 @@
             'store_reached': self.follower.is_reached,
             'version': table.version if table else None,
             'evacuated': sorted(self.catalogue.evacuated),
+            'datagrams_dropped': self.heartbeats.dropped_count,
+            'heartbeats_reduced': self.heartbeats.reduced_count,
             **self.organisations.dump_state(),
             'hosts': [
                 {
--- a/tests/gateway/test_heartbeat.py
+++ b/tests/gateway/test_heartbeat.py
@@ -8,7 +8,7 @@
 
 from jacinthfold.catalogue.model import HostRecord
 from jacinthfold.fleet.heartbeat_message import compress_heartbeat, decode
-from jacinthfold.fleet.heartbeats import Heartbeats
+from jacinthfold.fleet.heartbeats import MAX_DATAGRAM_BYTES, Heartbeats
 from jacinthfold.fleet.table import HostState, HostTable
 from jacinthfold.placement.target import Load
 from tests.gateway.test_placement import Scene
@@ -57,6 +57,29 @@
     return peer
 
 
+def test_large_heartbeat_keeps_what_limits_depend_on():
+    """Guards against hosts that stop hearing each other under long prompts.
+
+    Each of them then takes the whole limit of a target for its own.
+    """
+    peer = loaded(Peer('north-a'))
+    peer.hosts.register(host('north-b'), 'north-b')
+    now = peer.scene.clock.monotonic()
+    limited = peer.scene.targets.find(f'i-{hash_name(1)}')
+    limited.pushback.limit.record_answer(8.0, now, now)
+    for number in range(3000):
+        peer.scene.targets.recent_uses.record_use(
+            f'i-{hash_name(1)}', f'{number:064x}', now
+        )
+    (content,) = peer.next_datagrams()
+    assert len(content) < MAX_DATAGRAM_BYTES
+    heard = decode(content)
+    assert heard.limits
+    assert heard.loads
+    assert not heard.uses
+    assert peer.heartbeats.reduced_count == 1
+
+
 def test_heartbeat_of_a_loaded_host_compresses_to_under_half():
     """Heartbeats of loaded hosts are nearly all the traffic between the data
     centres of a region."""
