Let whole answers show that the parts of their prompts are sound

Cause: only the first event of a stream was recorded as the beginning of an answer, and only streams could be complete. A buffered answer showed nothing, so that the shared part stood at each crash and was never cleared.

Now a whole answer counts as begun when its body has been read, and as complete if its end was marked; what then speaks for a part is decided as for streams.

Class: evidence that one kind of answer gives and another doesn't.

Evidence: test_crashes_for_other_reasons_refuse_no_shared_part with whole answers, 16 crashes. Before: 429 (fails); after: none refused. The tests of a bad part run for calls too: it still reaches targets at most three times more.

--- a/jacinthfold/proxy/delivery.py
+++ b/jacinthfold/proxy/delivery.py
@@ -76,6 +76,8 @@
         self._is_withdrawn = False
         self._has_head = False
         self.on_first_event: Callable[[], None] | None = None
+        # Called with the end of an answer that isn't a stream.
+        self.on_whole: Callable[[], None] = _ignore_activity
         self.on_activity: Callable[[], None] = _ignore_activity
         self.on_head: Callable[[ResponseHead], None] = _ignore_head
         # Returns why nothing may be sent to the target now, or ''.
@@ -159,6 +161,8 @@
         body = await self._timeout.wait(
             exchange.read_body(self.limit_bytes), has_begun=False
         )
+        self.is_complete = head.body_end is not BodyEnd.CONNECTION
+        self.on_whole()
         if self._is_false_promise(head):
             return Outcome(Ending.UNKNOWN, f'status_{head.status}')
         is_failure = head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
--- a/jacinthfold/proxy/target_sends.py
+++ b/jacinthfold/proxy/target_sends.py
@@ -61,12 +61,14 @@
         began_at = self._clock.monotonic()
         target.activity.record_send(began_at, is_first=not target.own.requests)
         load = in_flight_load.InFlightLoad(estimate, request)
+        record_begun = partial(self._crash_detector.parts.record_begun, attempt)
+        delivery.on_whole = record_begun
         delivery.on_first_event = partial(
             self._outcomes.record_first_event,
             load,
             target,
             began_at,
-            partial(self._crash_detector.parts.record_begun, attempt),
+            record_begun,
         )
         # Records of this incarnation that come later may tell another version.
         version = target.record.software_version
--- a/jacinthfold/quarantine/prompt_parts.py
+++ b/jacinthfold/quarantine/prompt_parts.py
@@ -63,7 +63,7 @@
             )
 
     def record_begun(self, attempt: Attempt) -> None:
-        """Record that a target sends the first event of a stream."""
+        """Record that a target has begun, or made, the answer to a prompt."""
         if attempt.request.facts.prefix_segments:
             self._begun.append((self._clock.monotonic(), attempt))
         self.settle()
--- a/tests/gateway/ending_targets.py
+++ b/tests/gateway/ending_targets.py
@@ -11,6 +11,9 @@
 # Time from an engine's end to its next life, and of work before the end.
 BACK_SECONDS = 0.5
 PIECES = 3
+# Requests that get whole answers, also of engines.
+WHOLE_PATH = '/call/'
+WHOLE_SECONDS = 0.08
 BEFORE_END_SECONDS = 0.03
 
 
@@ -73,7 +76,9 @@
                 len(self.served) % self.unmarked_every
             ):
                 return await unmarked(PIECES)(target, request, writer)
-            if target.service.startswith('model'):
+            if request.target.startswith(WHOLE_PATH):
+                await asyncio.sleep(WHOLE_SECONDS)
+            elif target.service.startswith('model'):
                 return await standin.stream(PIECES)(target, request, writer)
             return await standin.serve_plain(target, request, writer)
         self.arrived.append(request)
--- a/tests/gateway/test_crashing_part.py
+++ b/tests/gateway/test_crashing_part.py
@@ -10,7 +10,7 @@
 
 from tests.gateway import target_standin as standin
 from tests.gateway.deployment import call, pause, route
-from tests.gateway.ending_targets import EndingTargets
+from tests.gateway.ending_targets import WHOLE_PATH, EndingTargets
 from tools.fleet import wait_until
 
 HOSTS = {'north-a': 'north-1', 'north-b': 'north-1', 'south-a': 'south-1'}
@@ -30,6 +30,7 @@
         route('/ask/', 'model', 'stream', **{'max-attempts': 1}),
         route('/review/', 'model', 'stream', resumable=True),
         route('/other/', 'model', 'stream', **{'max-attempts': 1}),
+        route(WHOLE_PATH, 'model', 'idempotent'),
     )
     targets = EndingTargets(deployment, fatal=(), fatal_parts=(BAD,))
     for data_centre in ('north-1', 'north-1', 'north-1', 'south-1', 'south-1'):
@@ -130,7 +131,7 @@
     return len(engines.arrived) - before
 
 
-@pytest.mark.parametrize('path', ['/ask/x', '/review/x'])
+@pytest.mark.parametrize('path', ['/ask/x', '/review/x', f'{WHOLE_PATH}x'])
 def test_prompts_with_a_part_that_crashes_targets_are_not_sent_to_more(
     engines, path
 ):
@@ -191,9 +192,13 @@
         assert len(engines.arrived) - before <= MAX_MORE_SENDS
 
 
-def test_crashes_for_other_reasons_refuse_no_shared_part(engines):
-    """Guards against blaming what every prompt has for every crash."""
-    with Crowd(engines, count=6) as crowd:
+@pytest.mark.parametrize('path', ['/ask/x', f'{WHOLE_PATH}x'])
+def test_crashes_for_other_reasons_refuse_no_shared_part(engines, path):
+    """Guards against blaming what every prompt has for every crash.
+
+    Streams and whole answers show that a part is sound.
+    """
+    with Crowd(engines, count=6, path=path) as crowd:
         for _ in range(8):
             pause(0.4)
             for data_centre in ('north-1', 'south-1'):
@@ -204,7 +209,9 @@
     assert 429 not in {status for _, status in crowd.statuses}
     for host in HOSTS:
         wait_until(
-            lambda host=host: send(engines, host, 'doc1').status == 200,
+            lambda host=host: (
+                send(engines, host, 'doc1', path=path).status == 200
+            ),
             f'{host} serves',
         )
 
