Soak hosts before targets that mislead about what has run; log the connection

attempt_failed says how many requests its connection has carried, which tells an answer to an earlier send from a target that misleads.

--- a/jacinthfold/proxy/outcome.py
+++ b/jacinthfold/proxy/outcome.py
@@ -28,6 +28,7 @@
     __slots__ = (
         'after_seconds',
         'body',
+        'connection_requests',
         'ending',
         'head',
         'is_rejected_locally',
@@ -53,6 +54,8 @@
         self.body = body
         # The Retry-After of a peer that rejected the request.
         self.after_seconds = after_seconds
+        # Requests that its connection has carried, with this one; 0 if none.
+        self.connection_requests = 0
         # Not sent, for a reason unrelated to the target's health.
         self.is_rejected_locally = is_rejected_locally
         # Rejected with a Retry-After by a target that is healthy.
--- a/jacinthfold/proxy/request_log.py
+++ b/jacinthfold/proxy/request_log.py
@@ -86,6 +86,7 @@
         reason=outcome.reason,
         runs=progress.runs,
         last_event_id=progress.last_event_id,
+        connection_requests=outcome.connection_requests,
     )
 
 
--- a/jacinthfold/proxy/sender.py
+++ b/jacinthfold/proxy/sender.py
@@ -47,6 +47,9 @@
             self.end(sending)
         if outcome is None:
             raise TypeError('a response was delivered without an outcome')
+        if sending.exchange is not None:
+            channel = sending.exchange.channel
+            outcome.connection_requests = channel.sent_requests.count
         sending.on_outcome(outcome)
         return outcome
 
--- a/tests/gateway/test_soak.py
+++ b/tests/gateway/test_soak.py
@@ -5,6 +5,7 @@
 from tests.gateway.soak import run_seed
 from tests.gateway.soak_endings import EndingsSoak
 from tests.gateway.soak_organisations import OrganisationsSoak
+from tests.gateway.soak_promises import PromisesSoak
 from tests.gateway.soak_pushback import PushbackSoak
 from tests.gateway.soak_restored import RestoredSoak
 from tests.gateway.soak_silences import SilencesSoak
@@ -39,6 +40,19 @@
     assert seen
 
 
+@pytest.mark.parametrize('seed', [1, 2])
+def test_nothing_is_told_not_run_that_runs_before_misleading_targets(seed):
+    """Guards against answers that are taken for another send's.
+
+    Targets reject and answer again later, answer 503 for what they run, and
+    send bytes without end.
+    """
+    problems, faults, seen = run_seed(seed, SECONDS, PromisesSoak)
+    assert problems == []
+    assert faults
+    assert seen
+
+
 @pytest.mark.parametrize('seed', [1, 2])
 def test_requests_that_end_engines_are_refused_under_random_faults(seed):
     """Two callers end engine after engine, a crowd runs beside them.
