Don't count what hosts add to a head towards the caller's limit

A request whose head was within the limit was answered 431 by the other region's host (DENIED), which callers don't retry.

Cause: the host that relays adds its header, and the relay's listener applied the callers' limit to the sum. Now that listener allows 16 KiB more; the first host has applied the limit already.

Evidence: test_head_of_the_largest_size_is_served_through_a_relay. Before: 431 at the largest size; after: 200, and one byte more is 431 at the first host, relayed or not.

Not done: a limit that the operator lowers while another host has the older one.

--- a/jacinthfold/gateway/cluster_view.py
+++ b/jacinthfold/gateway/cluster_view.py
@@ -36,6 +36,9 @@
 # Iterating over 195 hosts in every housekeeping run took 31 of the 650 ms that
 # an idle host was busy.
 HOSTS_REFRESH_SECONDS = 0.4
+# Added to a caller's head by the host that relays: the route with its home
+# regions, the organisation's name and where a stream began.
+RELAY_HEADER_BYTES = 16384
 # Interval for logging the latency models learned from engines.
 LATENCY_MODELS_LOG_SECONDS = 10.0
 
@@ -146,6 +149,12 @@
             max(self._idle_timeouts_seconds),
         )
 
+    def relay_limits(self) -> CallerLimits:
+        """Return the limits for requests that other hosts relay."""
+        limits = self.limits()
+        limits.head_bytes += RELAY_HEADER_BYTES
+        return limits
+
     def on_routes(self, table: RouteTable) -> None:
         """Apply a newer configuration."""
         self.targets.update_services(table.services)
--- a/jacinthfold/gateway/node.py
+++ b/jacinthfold/gateway/node.py
@@ -135,8 +135,11 @@
         self._callers = self._listener(
             'callers', listen.callers, caller_handler
         )
-        self._relay = self._listener(
-            'relay', (address, listen.relay_port), relay_handler
+        self._relay = Listener(
+            'relay',
+            (address, listen.relay_port),
+            relay_handler,
+            view.relay_limits,
         )
         self._listeners = [
             self._listener('ready', listen.ready, readiness_handler),
--- a/tests/gateway/test_target_headers.py
+++ b/tests/gateway/test_target_headers.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from tests.gateway.deployment import bearer, route, tenant, wait_served
+from tests.gateway.deployment import (
+    HOST_NAME,
+    bearer,
+    route,
+    tenant,
+    wait_served,
+)
 from tests.gateway.target_standin import stream
 
 KEY = 'a-key-of-the-north-1'
@@ -80,3 +86,35 @@
     """Guards against a name that the caller of a public route has made up."""
     ran = received(relaying, 'north-a', '/open/x', ('Tenant', 'south'))
     assert not {'tenant', 'authorization'} & {name for name, _ in ran.pairs}
+
+
+def head_bytes(headers, path):
+    """Return the size of a head as the limit counts it."""
+    return len(path) + sum(len(one) for pair in headers for one in pair)
+
+
+@pytest.mark.parametrize('host', ['south-a', 'north-a'], ids=['own', 'relayed'])
+@pytest.mark.parametrize(('excess', 'status'), [(0, 200), (1, 431)])
+def test_head_of_the_largest_size_is_served_through_a_relay(
+    relaying, host, excess, status
+):
+    """Guards against a limit that what hosts add to a head counts towards."""
+    path, limit = '/order/x', 16384
+    fixed = [
+        ('Host', HOST_NAME),
+        bearer(KEY),
+        ('Request-Deadline', '4000'),
+        ('Attempt-Id', 'attempt-1'),
+        ('Content-Length', '6'),
+        ('X-Fill', ''),
+    ]
+    fill = limit + excess - head_bytes(fixed, path)
+    answer = relaying.ask(
+        host,
+        path,
+        'POST',
+        [bearer(KEY), ('X-Fill', 'x' * fill)],
+        b'prompt',
+        'attempt-1',
+    )
+    assert answer.status == status
