--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -21,6 +21,7 @@
 from tools.ablations.organisations import ORGANISATIONS
 from tools.ablations.parts import PROMPT_PARTS
 from tools.ablations.places import PLACES
+from tools.ablations.promises import PROMISES
 from tools.ablations.quarantine import QUARANTINE
 from tools.ablations.restored import RESTORED
 from tools.ablations.serve import SERVE
@@ -46,6 +47,7 @@
     *SILENCES,
     *STREAMS,
     *ANSWER_ENDS,
+    *PROMISES,
     *PROMPT_PARTS,
 ]
 
