--- a/tools/ablations/decisions.py
+++ b/tools/ablations/decisions.py
@@ -284,8 +284,8 @@
         [
             (
                 'placement/choice.py',
-                '        if is_retry:',
-                '        if False:',
+                '        if is_retry or is_resumed:',
+                '        if is_resumed:',
             ),
         ],
         GATEWAY
--- a/tools/ablations/fleet.py
+++ b/tools/ablations/fleet.py
@@ -112,8 +112,9 @@
         [
             (
                 'placement/estimates.py',
-                'key = (cached, target.record.data_centre)',
-                "key = (cached, '')",
+                '                cached,\n'
+                '                target.record.data_centre,\n',
+                "                cached,\n                '',\n",
             ),
         ],
         CHOICE,
--- a/tools/ablations/gateway.py
+++ b/tools/ablations/gateway.py
@@ -44,7 +44,7 @@
         'gateway: an older configuration version is ignored',
         [
             (
-                'catalogue/records.py',
+                'catalogue/listeners.py',
                 '        if self.routes is not None and table.version <= self.routes.version:',
                 '        if False:',
             ),
@@ -81,8 +81,8 @@
         [
             (
                 'fleet/table.py',
-                '            and entry.status.reaches_store\n            and entry.state',
-                '            and entry.state',
+                '            and entry.status.reaches_store\n',
+                '',
             ),
         ],
         GATEWAY
@@ -172,7 +172,7 @@
         [
             (
                 'catalogue/records.py',
-                '                self._withdraw(record)\n',
+                '                self._notifier.withdraw(record)\n',
                 '                logs.event(record.key)\n',
             ),
         ],
--- a/tools/ablations/serve.py
+++ b/tools/ablations/serve.py
@@ -59,8 +59,8 @@
         [
             (
                 'serve/relay.py',
-                '    elif not turned.request_sent:\n',
-                '    elif True:\n',
+                'return Ending.UNKNOWN if request_sent else Ending.NOT_RUN',
+                'return Ending.NOT_RUN',
             ),
         ],
         MATRIX + 'test_order_runs_at_most_once[desk-1-body sent-reset]',
--- a/tools/ablations/streams.py
+++ b/tools/ablations/streams.py
@@ -122,8 +122,8 @@
         [
             (
                 'streams/origins.py',
-                '        version = await self.exchange.ask(service, attempt)',
-                '        version = None',
+                '        testimony = await self.exchange.ask(service, attempt)',
+                "        return None, 'unknown'",
             ),
         ],
         f'{TAKEN_UP}::test_host_that_was_not_told_asks_others',
