--- a/tools/ablations/parts.py
+++ b/tools/ablations/parts.py
@@ -18,6 +18,11 @@
         PROCESSES
         + 'test_prompts_with_a_part_that_crashes_targets_are_not_sent_to_more',
     ),
+    Ablation(
+        'parts: whole answers show that parts are sound',
+        [('proxy/delivery.py', '        self.on_whole()', '        pass')],
+        PROCESSES + 'test_crashes_for_other_reasons_refuse_no_shared_part',
+    ),
     Ablation(
         'parts: what targets bear is not suspected',
         [
--- a/tools/ablations/promises.py
+++ b/tools/ablations/promises.py
@@ -104,15 +104,36 @@
         TAKEN_UP + 'test_streams_go_on_after_all_hosts_were_killed',
     ),
     Ablation(
-        'streams: other hosts are asked before the only version counts',
+        'streams: the only version counts last',
         [
             (
                 'streams/origins.py',
-                '        testimony = await self.exchange.ask(service, attempt)',
-                '        from jacinthfold.streams.exchange import Testimony\n'
-                '        testimony = Testimony()',
+                '        attempt = attempt_key(attempt_id)\n'
+                '        version = self.table',
+                '        only = self._versions.proven_only(service)\n'
+                '        if only is not None:\n'
+                "            return only, 'only'\n"
+                '        attempt = attempt_key(attempt_id)\n'
+                '        version = self.table',
             ),
         ],
         TAKEN_UP + 'test_stream_of_a_version_that_a_host_has_not_heard_of',
     ),
+    Ablation(
+        'streams: what other hosts know counts against the only version',
+        [
+            (
+                'streams/exchange.py',
+                'is_sure = len(versions) == 1 and not self.is_mixed',
+                'is_sure = bool(own)',
+            ),
+            (
+                'streams/exchange.py',
+                'return next(iter(versions)) if is_sure else None',
+                'return own',
+            ),
+        ],
+        'tests/gateway/test_stream_origin.py::'
+        'test_host_with_old_records_does_not_trust_the_only_version',
+    ),
 ]
