Remember requests of a connection by a hash of their identifiers

Found when the change was read again: what a connection remembers was bounded by number, and callers choose how long an identifier is (a head may have 16 KiB): 9.1 MB for 1,000 identifiers of 9 KB, on each kept connection.

--- a/jacinthfold/transport/sent_requests.py
+++ b/jacinthfold/transport/sent_requests.py
@@ -1,5 +1,7 @@
 """Remember which requests a connection has carried."""
 
+from jacinthfold.hashing import hash_key_bits
+
 # Requests that a connection carries while one of them may be sent again. A
 # connection that has carried more is not kept.
 MAX_REMEMBERED = 1000
@@ -16,13 +18,14 @@
 
     def __init__(self) -> None:
         """Start with a connection that has carried nothing."""
-        # The deadline of each request; none is sent again after it.
-        self._until: dict[str, float] = {}
+        # The deadline of each request; none is sent again after it. Callers
+        # choose how long an identifier is, so that its hash stands for it.
+        self._until: dict[int, float] = {}
         self.count = 0
 
     def __contains__(self, request_id: str) -> bool:
         """Check whether a request may get an answer to an earlier send."""
-        return request_id in self._until
+        return hash_key_bits(request_id) in self._until
 
     @property
     def is_full(self) -> bool:
@@ -39,4 +42,4 @@
                 if until > now
             }
         if request_id:
-            self._until[request_id] = deadline
+            self._until[hash_key_bits(request_id)] = deadline
--- a/tests/gateway/test_not_run.py
+++ b/tests/gateway/test_not_run.py
@@ -1,10 +1,12 @@
 """Promises that a request has not run, and targets that mislead about it."""
 
 import asyncio
+import tracemalloc
 from collections import Counter
 
 import pytest
 
+from jacinthfold.transport.sent_requests import MAX_REMEMBERED, SentRequests
 from tests.gateway.deployment import OVERLOAD, route, wait_served
 from tests.gateway.target_standin import Reply, echoed, not_executed
 
@@ -149,3 +151,22 @@
     assert gateway.targets['i-1'].request_ids() == ['order-1']
     assert gateway.targets['i-1'].connection_count == connections
     assert answer.status == 502
+
+
+def test_long_identifiers_fill_no_connection():
+    """Guards against callers that size what a connection remembers."""
+    sent = SentRequests()
+    tracemalloc.start()
+    for number in range(MAX_REMEMBERED):
+        sent.add(f'{number}-' + 'x' * 9000, 5.0, 0.0)
+    size_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert size_bytes < 500_000
+    assert '7-' + 'x' * 9000 in sent
+    assert '7' not in sent
+    # Full until the deadlines of what it has carried have passed.
+    assert sent.is_full
+    sent.add('later', 20.0, 10.0)
+    assert not sent.is_full
+    assert 'later' in sent
+    assert '7-' + 'x' * 9000 not in sent
