--- a/tests/gateway/test_streams_taken_up.py
+++ b/tests/gateway/test_streams_taken_up.py
@@ -38,6 +38,15 @@
         deployment.wait_ready(name)
 
 
+def assert_gone_on(begun, answers):
+    """Check that each stream is whole and of one version."""
+    for one, answer in zip(begun, answers, strict=True):
+        assert answer.status == 200
+        assert len(streams.versions_of(one.first_body, answer.body)) == 1
+        numbers = streams.numbers_of(one.first_body, answer.body)
+        assert numbers == list(range(1, streams.TOTAL + 1))
+
+
 def remove_targets(deployment, version):
     """Remove the targets of a version from the store."""
     for name in list(deployment.targets):
@@ -51,11 +60,7 @@
     begun = [streams.TakenUp(fleet, 'north-a') for _ in range(8)]
     fleet.hosts['north-a'].kill()
     answers = [one.go_on('north-b') for one in begun]
-    for one, answer in zip(begun, answers, strict=True):
-        assert answer.status == 200
-        assert len(streams.versions_of(one.first_body, answer.body)) == 1
-        numbers = streams.numbers_of(one.first_body, answer.body)
-        assert numbers == list(range(1, streams.TOTAL + 1))
+    assert_gone_on(begun, answers)
 
 
 def test_stream_is_taken_up_twice(fleet):
@@ -263,11 +268,7 @@
     pause(1.5)
     restart(fleet, *(name for name, _ in HOSTS))
     answers = [one.go_on('north-b') for one in begun]
-    for one, answer in zip(begun, answers, strict=True):
-        assert answer.status == 200
-        assert len(streams.versions_of(one.first_body, answer.body)) == 1
-        numbers = streams.numbers_of(one.first_body, answer.body)
-        assert numbers == list(range(1, streams.TOTAL + 1))
+    assert_gone_on(begun, answers)
 
 
 def test_stream_of_a_version_that_a_host_has_not_heard_of(deployment):
