Let the only known version count only by a proof from after the question

Callers could get a stream with events of two software versions (ORDER) at a host that is cut off from the store and from the hosts that know the stream, for up to 3 s; and at any host of a region of more than ten that doesn't watch the store, for the 0.3 to 0.9 s after which it hears of a new version.

Cause: the age of a host's records, however small, says nothing about what was written since. A stream may have begun at a version of that time.

Now a host that finds no record of a stream asks the store for its revision, sent after the question came in, and waits until its records have reached it: the version that began the stream was in the store before. What other hosts infer no longer counts for a version, only against it.

The four ablations of this fail their tests.

A check that changed: test_host_with_old_records_does_not_trust_the_only_version is now ..._without_a_proof_...: a host whose records were old took the version that another host inferred ('v2' before, nowhere now), which is the same guess. Its other cases are as they were.

Cost: a stream that is taken up at a host that has no record of it waits for a round trip to the store, with a busy store until the watch brings what was written.

--- a/jacinthfold/streams/exchange.py
+++ b/jacinthfold/streams/exchange.py
@@ -53,14 +53,9 @@
         else:
             self.version = answer.version
 
-    def only_version(self, own: str | None) -> str | None:
-        """Return the only version by this host and others, None if unsure.
-
-        This host knows of none if its records are old.
-        """
-        versions = self.inferred.union([own] if own else [])
-        is_sure = len(versions) == 1 and not self.is_mixed
-        return next(iter(versions)) if is_sure else None
+    def admits_only(self, version: str) -> bool:
+        """Tell whether no host knows another version than the given one."""
+        return not self.is_mixed and self.inferred <= {version}
 
 
 class _PendingQuery:
--- a/jacinthfold/streams/origins.py
+++ b/jacinthfold/streams/origins.py
@@ -1,5 +1,8 @@
 """Record where streams began, and find it for those that are taken up."""
 
+import asyncio
+from collections.abc import Awaitable, Callable
+
 from jacinthfold import logs
 from jacinthfold.catalogue.follower import Follower
 from jacinthfold.catalogue.metadata import MetadataStore
@@ -10,7 +13,7 @@
 from jacinthfold.placement.software_versions import SoftwareVersions
 from jacinthfold.request.messages import Request
 from jacinthfold.request.stream_origin import StreamOrigin
-from jacinthfold.streams.exchange import OriginExchange
+from jacinthfold.streams.exchange import OriginExchange, Testimony
 from jacinthfold.streams.messages import ORIGIN_MARK, attempt_key
 from jacinthfold.streams.origin_writer import OriginWriter
 from jacinthfold.streams.stored_origins import StoredOrigins
@@ -35,16 +38,20 @@
     ) -> None:
         """Use the versions of each service, and the hosts and the store."""
         self._versions = versions
+        self._clock = clock
         self.table = OriginTable(clock, lambda: versions.retention)
         self.exchange = OriginExchange(hosts, self.table, versions, clock)
         self.version_writer = VersionWriter(store, versions)
         self.origin_writer = OriginWriter(hosts, store, versions, clock)
         self._stored = stored
+        # Tells whether this host's records are as new as a boot time.
+        self.prove_current: Callable[[float], Awaitable[bool]] = _never_current
         versions.on_mixed = self._tell_recent
 
     def connect(self, heartbeats: Heartbeats, follower: Follower) -> None:
         """Exchange messages with other hosts on the heartbeats' socket."""
         self.version_writer.may_write = lambda: follower.watches()
+        self.prove_current = follower.prover.prove
         heartbeats.datagram_handlers[ORIGIN_MARK] = (
             self.exchange.handle_datagram
         )
@@ -88,6 +95,7 @@
                 last_event_id=facts.last_event_id[:MAX_LOGGED_CHARACTERS],
                 software_version=version,
                 source=source,
+                knowledge_age_seconds=self._versions.knowledge_age(),
             )
 
     async def _find(
@@ -95,19 +103,40 @@
     ) -> tuple[str | None, str]:
         """Return the version that began a stream, and who told it."""
         attempt = attempt_key(attempt_id)
+        version, source = self._recorded(service, attempt)
+        if version is not None:
+            return version, source
+        # The stream has begun before this, at a version that was in the store
+        # by then.
+        as_of = self._clock.boottime()
+        proving = asyncio.ensure_future(self.prove_current(as_of))
+        try:
+            testimony = await self.exchange.ask(service, attempt)
+            if testimony.version is not None:
+                return testimony.version, 'asked'
+            if testimony.is_mixed or self._versions.is_mixed(service):
+                return None, 'unknown'
+            is_current = await proving
+        finally:
+            proving.cancel()
+        version, source = self._recorded(service, attempt)
+        if version is not None:
+            return version, source
+        return self._only(service, testimony, is_current=is_current)
+
+    def _recorded(self, service: str, attempt: int) -> tuple[str | None, str]:
         version = self.table.version(attempt, service)
         if version is not None:
             return version, 'own'
-        version = self._stored.version(attempt, service)
-        if version is not None:
-            return version, 'stored'
-        # A version that has just come may not be known here yet, but it is to
-        # the host that began the stream, and to those that it has told.
-        testimony = await self.exchange.ask(service, attempt)
-        if testimony.version is not None:
-            return testimony.version, 'asked'
-        only = testimony.only_version(self._versions.proven_only(service))
-        return only, 'unknown' if only is None else 'only'
+        return self._stored.version(attempt, service), 'stored'
+
+    def _only(
+        self, service: str, testimony: Testimony, *, is_current: bool
+    ) -> tuple[str | None, str]:
+        only = self._versions.only(service) if is_current else None
+        if only is None or not testimony.admits_only(only):
+            return None, 'unknown'
+        return only, 'only'
 
     def _tell(self, service: str, version: str, attempts: list[int]) -> None:
         self.exchange.tell(service, version, attempts)
@@ -120,3 +149,7 @@
             by_version.setdefault(version, []).append(attempt)
         for version, attempts in by_version.items():
             self._tell(service, version, attempts)
+
+
+async def _never_current(_as_of: float) -> bool:
+    return False
--- a/tests/gateway/test_freshness.py
+++ b/tests/gateway/test_freshness.py
@@ -1,17 +1,21 @@
 """Revoked keys: the maximum age of a host's copy of the store."""
 
+import asyncio
 import random
 import signal
 
 import pytest
 
 from jacinthfold.catalogue.freshness import Freshness
+from jacinthfold.catalogue.freshness_prover import FreshnessProver
+from jacinthfold.catalogue.metadata import MetadataError
 from jacinthfold.fleet.directory import Directory
 from jacinthfold.organisations.credentials import digest_of
 from jacinthfold.organisations.model import Organisation
 from jacinthfold.proxy.key_gate import KeyGate, KeyRejection
 from jacinthfold.request.messages import Request, RequestFacts
 from tests.fakes import FakeClock
+from tests.gateway import virtual_time
 from tests.gateway.beating import Fleet
 from tests.gateway.deployment import (
     Connection,
@@ -323,3 +327,64 @@
     directory.own_reaches_store = lambda: False
     fleet.run(1)
     assert named() == set(names)
+
+
+class CountingStore:
+    """Answer calls for the revision after a while, or refuse them."""
+
+    def __init__(self, revision, *, is_away=False):
+        self.revision = revision
+        self.is_away = is_away
+        self.calls = 0
+
+    async def current_revision(self):
+        self.calls += 1
+        await asyncio.sleep(0.1)
+        if self.is_away:
+            raise MetadataError('away')
+        return self.revision
+
+
+@pytest.mark.parametrize(
+    ('store', 'is_proven', 'max_calls'),
+    [
+        (CountingStore(7), True, 2),
+        (CountingStore(8), False, 2),
+        (CountingStore(7, is_away=True), False, 3),
+    ],
+)
+def test_many_that_wait_for_a_proof_share_few_calls(
+    store, is_proven, max_calls
+):
+    """Guards against a call to the store for each stream after a crash."""
+    clock = FakeClock()
+    freshness = Freshness(clock)
+    freshness.advance(7)
+    prover = FreshnessProver(store, freshness, clock)
+
+    async def prove_many():
+        as_of = clock.boottime()
+        return await asyncio.gather(*(prover.prove(as_of) for _ in range(50)))
+
+    assert set(virtual_time.run(clock, prove_many())) == {is_proven}
+    assert 1 <= store.calls <= max_calls
+
+
+def test_call_sent_before_the_moment_proves_nothing():
+    """Guards against an answer of the store that is older than the stream."""
+    clock = FakeClock()
+    freshness = Freshness(clock)
+    freshness.advance(7)
+    store = CountingStore(7)
+    prover = FreshnessProver(store, freshness, clock)
+
+    async def prove_twice():
+        first = asyncio.ensure_future(prover.prove(clock.boottime()))
+        await asyncio.sleep(0.05)
+        as_of = clock.boottime()
+        assert await prover.prove(as_of)
+        assert freshness.proof.as_of >= as_of
+        return await first
+
+    assert virtual_time.run(clock, prove_twice())
+    assert store.calls == 2
--- a/tests/gateway/test_stream_origin.py
+++ b/tests/gateway/test_stream_origin.py
@@ -379,11 +379,16 @@
 
 
 @pytest.mark.parametrize(
-    ('own_age', 'other_age', 'version'),
-    [(0.5, 9.0, 'v1'), (0.5, 0.5, None), (9.0, 0.5, 'v2'), (9.0, 9.0, None)],
+    ('is_current', 'other_age', 'version'),
+    [
+        (True, 9.0, 'v1'),
+        (True, 0.5, None),
+        (False, 0.5, None),
+        (False, 9.0, None),
+    ],
 )
-def test_host_with_old_records_does_not_trust_the_only_version(
-    own_age, other_age, version
+def test_host_without_a_proof_does_not_trust_the_only_version(
+    is_current, other_age, version
 ):
     """Guards against a cut-off or frozen host that has missed a release.
 
@@ -392,23 +397,11 @@
     scene, other = Scene(), Scene()
     scene.add('i-1', software_version='v1')
     other.add('i-2', software_version='v2')
-    scene.targets.versions.knowledge_age = lambda: own_age
     other.targets.versions.knowledge_age = lambda: other_age
     a, b = host('a'), host('b')
-    asker = StreamOrigins(
-        hosts_of(a, [b], scene.clock),
-        scene.targets.versions,
-        None,
-        StoredOrigins(),
-        scene.clock,
-    )
-    asked = StreamOrigins(
-        hosts_of(b, [a], scene.clock),
-        other.targets.versions,
-        None,
-        StoredOrigins(),
-        scene.clock,
-    )
+    asker = origins_of(scene, a, [b])
+    asked = origins_of(other, b, [a])
+    asker.prove_current = proof(is_current)
     asker.exchange.send = lambda content, _: asked.exchange.handle_datagram(
         content, ('ip-a', 2)
     )
@@ -420,6 +413,54 @@
     assert request.origin.software_version == version
 
 
+@pytest.mark.parametrize(
+    ('is_current', 'version'), [(True, 'v1'), (False, None)]
+)
+def test_host_that_hears_nobody_guesses_no_version(is_current, version):
+    """Guards against young records that are older than the stream."""
+    scene = Scene()
+    scene.add('i-1', software_version='v1')
+    scene.targets.versions.knowledge_age = lambda: 0.1
+    alone = origins_of(scene, host('a'), [])
+    alone.prove_current = proof(is_current)
+    request = taken_up(scene)
+    asyncio.run(alone.resolve(request))
+    assert request.origin.software_version == version
+
+
+def test_version_that_the_proof_brings_counts():
+    """Guards against the version that was the only one before the proof."""
+    scene = Scene()
+    scene.add('i-1', software_version='v1')
+    alone = origins_of(scene, host('a'), [])
+
+    async def learn(_as_of):
+        scene.add('i-2', software_version='v2')
+        return True
+
+    alone.prove_current = learn
+    request = taken_up(scene)
+    asyncio.run(alone.resolve(request))
+    assert request.origin.software_version is None
+
+
+def origins_of(scene, own, others):
+    return StreamOrigins(
+        hosts_of(own, others, scene.clock),
+        scene.targets.versions,
+        None,
+        StoredOrigins(),
+        scene.clock,
+    )
+
+
+def proof(is_current):
+    async def prove(_as_of):
+        return is_current
+
+    return prove
+
+
 @pytest.mark.parametrize(
     ('values', 'resumed_id'),
     [([], ''), (['a'], 'a'), (['a', 'a'], 'a'), (['a', 'b'], ''), ([''], '')],
--- a/tests/gateway/test_streams_taken_up.py
+++ b/tests/gateway/test_streams_taken_up.py
@@ -313,3 +313,23 @@
     door.close()
     assert joined
     assert not any(joined)
+
+
+def test_host_cut_off_from_the_store_and_all_hosts_guesses_no_version(
+    deployment,
+):
+    """Guards against a version that counts since its records are young."""
+    streams.add_targets(deployment, 'v1-north-1')
+    door = Proxy(*deployment.store.address)
+    deployment.store_address = (LOOPBACK, door.port)
+    streams.start(deployment, ('north-a', 'north-1'))
+
+    def take_up(attempt_id):
+        headers = (('Last-Event-Id', '3'), ('Resumes', attempt_id))
+        return streams.ask(deployment, 'north-a', *headers).status
+
+    assert take_up('of-another-host') == 200
+    door.cut(reset=True)
+    assert take_up('of-a-third-host') == 503
+    assert streams.ask(deployment, 'north-a').status == 200
+    door.close()
--- a/tools/ablations/promises.py
+++ b/tools/ablations/promises.py
@@ -108,13 +108,11 @@
         [
             (
                 'streams/origins.py',
-                '        attempt = attempt_key(attempt_id)\n'
-                '        version = self.table',
+                '        attempt = attempt_key(attempt_id)\n',
                 '        only = self._versions.proven_only(service)\n'
                 '        if only is not None:\n'
                 "            return only, 'only'\n"
-                '        attempt = attempt_key(attempt_id)\n'
-                '        version = self.table',
+                '        attempt = attempt_key(attempt_id)\n',
             ),
         ],
         TAKEN_UP + 'test_stream_of_a_version_that_a_host_has_not_heard_of',
@@ -124,16 +122,11 @@
         [
             (
                 'streams/exchange.py',
-                'is_sure = len(versions) == 1 and not self.is_mixed',
-                'is_sure = bool(own)',
-            ),
-            (
-                'streams/exchange.py',
-                'return next(iter(versions)) if is_sure else None',
-                'return own',
+                'return not self.is_mixed and self.inferred <= {version}',
+                'return True',
             ),
         ],
         'tests/gateway/test_stream_origin.py::'
-        'test_host_with_old_records_does_not_trust_the_only_version',
+        'test_host_without_a_proof_does_not_trust_the_only_version',
     ),
 ]
--- a/tools/ablations/streams.py
+++ b/tools/ablations/streams.py
@@ -217,14 +217,28 @@
         f'{TAKEN_UP}::test_relayed_stream_goes_on_at_its_version_in_a_third_region',
     ),
     Ablation(
-        'streams: old records prove no only version',
+        'streams: young records prove no only version',
         [
             (
-                'placement/software_versions.py',
-                '        return self.only(service) if is_fresh else None',
-                '        return self.only(service)',
+                'streams/origins.py',
+                '            is_current = await proving',
+                '            is_current = True',
+            ),
+        ],
+        f'{ORIGIN}::test_host_that_hears_nobody_guesses_no_version',
+    ),
+    Ablation(
+        'streams: what the proof brings counts',
+        [
+            (
+                'streams/origins.py',
+                '        as_of = self._clock.boottime()',
+                '        as_of = self._clock.boottime()\n'
+                '        only = self._versions.only(service)\n'
+                '        if only and await self.prove_current(as_of):\n'
+                "            return only, 'only'",
             ),
         ],
-        f'{ORIGIN}::test_host_with_old_records_does_not_trust_the_only_version',
+        f'{ORIGIN}::test_version_that_the_proof_brings_counts',
     ),
 ]
