Bound the bytes that callers and targets make a host hold

Causes, each seen by its own figures: - Bodies were bounded one by one, not together, and copied twice while they were sent. - After a request's end its body stayed until the garbage collector found the cycle it was in: 24 MB more every 3 s with six bodies at a time, 107 MB with nothing reserved. - Up to 512 KB of a target's bytes were received ahead for each answer that nobody reads, and written to its connection as one. - Answers of 256 KB and less weren't counted, larger ones only until they were written. - A caller that reads nothing was waited for until the request's deadline.

Now there are budgets of bytes, worked out from the process's limit ([memory] limit_mb, from the platform where it gives one): for bodies, for answers, for answers that callers don't read. A body takes its declared length before it is read; without room it is refused at once, not run, with a time to come back, and what the caller still sends is read away for 2 s so that it gets the answer. A declared length over the limit is refused at the head. When half of the bodies' budget is used, a large body is let go once it is sent: the request has one try. An answer of which its caller reads nothing for the idle timeout ends, as do those that wait longest when memory is scarce. Answers of the store and of hosts have a budget of their own, as before. Large freed blocks go back to the system.

Ruled out: fragmentation alone (mallopt alone: 144 to 132 MB); a leak of reservations (the gauge returns to 0 in each test).

A check that changed: test_small_answers_are_held_beside_large_ones counts answers from the first byte and asks that small ones find room beside large ones, and that all is given back; 256 KB were free of any count before.

--- a/jacinthfold/gateway/node.py
+++ b/jacinthfold/gateway/node.py
@@ -12,7 +12,7 @@
 from jacinthfold.config import SettingsError
 from jacinthfold.fleet.directory import Directory
 from jacinthfold.fleet.table import HostState
-from jacinthfold.gateway import handlers, request_handlers
+from jacinthfold.gateway import handlers, memory_bounds, request_handlers
 from jacinthfold.gateway import settings as gateway_settings
 from jacinthfold.gateway.adapter import Adapter
 from jacinthfold.gateway.cluster_view import ClusterView
@@ -141,6 +141,13 @@
             relay_handler,
             view.relay_limits,
         )
+        memory_bounds.bound(
+            self.settings.memory.limit_mb,
+            self._callers,
+            self._relay,
+            dialect,
+            self.metrics.registry,
+        )
         self._listeners = [
             self._listener('ready', listen.ready, readiness_handler),
             self._listener('directory', listen.directory, directory_handler),
--- a/jacinthfold/gateway/request_handlers.py
+++ b/jacinthfold/gateway/request_handlers.py
@@ -56,8 +56,9 @@
             await response.send(HTTPStatus.BAD_REQUEST, [], b'')
             return
         parsed = Request(
-            request.method, request.target, headers, request.body, facts
+            request.method, request.target, headers, request.take_body(), facts
         )
+        parsed.memory = request.memory
         parsed.received_at = now
         id_headers = self._dialect.gateway_headers(facts.request_id)
         table = self._catalogue.routes
@@ -162,9 +163,10 @@
                 request.method,
                 request.target,
                 request.headers,
-                request.body,
+                request.take_body(),
                 facts,
             )
+            parsed.memory = request.memory
             organisation_name = relay_header.apply_route(
                 parsed, self._clock.monotonic()
             )
--- a/jacinthfold/gateway/settings.py
+++ b/jacinthfold/gateway/settings.py
@@ -196,6 +196,15 @@
             'off',
         ),
     },
+    'memory': {
+        'limit_mb': Option(
+            integer(64, 1048576),
+            'a whole number from 64 to 1048576',
+            'MB of memory that the process may use; a share of it is for '
+            'bodies of requests and for answers that wait for callers',
+            '160',
+        ),
+    },
     'stop': {
         'grace_seconds': Option(
             decimal(1, 600),
@@ -215,6 +224,7 @@
         'host',
         'leaving_limit',
         'listen',
+        'memory',
         'organisations',
         'overload',
         'peers',
@@ -233,6 +243,7 @@
         self.store = sections['store']
         self.retries = sections['retries']
         self.stop = sections['stop']
+        self.memory = sections['memory']
         self.organisations = sections['organisations']
         overload = sections['overload']
         self.overload = OverloadOptions(
--- a/jacinthfold/proxy/caller_response.py
+++ b/jacinthfold/proxy/caller_response.py
@@ -2,24 +2,38 @@
 
 import h11
 
+from jacinthfold.proxy.unread_answers import UnreadAnswers
 from jacinthfold.request.messages import Headers
-from jacinthfold.transport.channel import Channel
+from jacinthfold.transport.channel import PIECE_BYTES, Channel
 from jacinthfold.transport.errors import ConnectionLostError
+from jacinthfold.transport.memory import Reservation, process_memory
 
 
 class RawRequest:
     """Hold a request as it was read."""
 
-    __slots__ = ('body', 'headers', 'method', 'target')
+    __slots__ = ('body', 'headers', 'memory', 'method', 'target')
 
     def __init__(
-        self, method: bytes, target: bytes, headers: Headers, body: bytes
+        self,
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+        body: bytes,
+        memory: Reservation,
     ) -> None:
-        """Store the parts of the request as they were received."""
+        """Store the parts of the request and the memory of its body."""
         self.method = method
         self.target = target
         self.headers = headers
         self.body = body
+        self.memory = memory
+
+    def take_body(self) -> bytes:
+        """Return the body, which the request no longer holds."""
+        body = self.body
+        self.body = b''
+        return body
 
 
 class CallerDisconnectedError(Exception):
@@ -30,12 +44,19 @@
     """Write one response to a caller."""
 
     def __init__(
-        self, channel: Channel, parser: h11.Connection, is_head: bool
+        self,
+        channel: Channel,
+        parser: h11.Connection,
+        is_head: bool,
+        unread: UnreadAnswers,
     ) -> None:
-        """Store the connection and the state of its parser."""
+        """Store the connection, its parser, and what waits to be read."""
         self._channel = channel
         self._parser = parser
+        self._unread = unread
         self._is_head = is_head
+        # Of the answers of targets that are held for the request.
+        self.answer_memory = process_memory.answers.reserve()
         self.has_started = False
         self.is_finished = False
         self.status = 0
@@ -67,7 +88,7 @@
             framed.append((b'Content-Length', str(len(body)).encode()))
         content = self._head(status, framed, marks_end=marks_end)
         if body and not self._is_head:
-            content += self._parser.send(h11.Data(data=body)) or b''
+            content = await self._send_body(content, body)
         content += self._end()
         await self._write(content)
         self.is_finished = True
@@ -90,6 +111,19 @@
         await self._write(self._end())
         self.is_finished = True
 
+    async def _send_body(self, head: bytes, body: bytes) -> bytes:
+        """Send all but the last piece; return what is left."""
+        content = head
+        start = 0
+        while start < len(body):
+            if len(content) >= PIECE_BYTES:
+                await self._write(content)
+                content = b''
+            piece = body[start : start + PIECE_BYTES]
+            content += self._parser.send(h11.Data(data=piece)) or b''
+            start += PIECE_BYTES
+        return content
+
     def _head(self, status: int, headers: Headers, *, marks_end: bool) -> bytes:
         self.has_started = True
         if not marks_end:
@@ -111,6 +145,16 @@
 
     async def _write(self, content: bytes) -> None:
         try:
-            await self._channel.write(content)
+            await self._write_pieces(content)
         except ConnectionLostError as error:
             raise CallerDisconnectedError from error
+
+    async def _write_pieces(self, content: bytes) -> None:
+        start = 0
+        while not start or start < len(content):
+            self._channel.send(content[start : start + PIECE_BYTES])
+            start += PIECE_BYTES
+            if self._channel.is_write_paused:
+                await self._unread.wait(
+                    self._channel, len(content), self.answer_memory
+                )
--- a/jacinthfold/proxy/delivery.py
+++ b/jacinthfold/proxy/delivery.py
@@ -20,6 +20,7 @@
 from jacinthfold.transport.channel import Channel
 from jacinthfold.transport.errors import ConnectionLostError, ProxyError
 from jacinthfold.transport.exchange import Exchange
+from jacinthfold.transport.memory import SMALL_BYTES
 
 # Responses other than streams are buffered until they are complete.
 MAX_BUFFERED_BODY_BYTES = 16777216
@@ -159,7 +160,8 @@
         if self._request.route.is_stream and head.status == HTTPStatus.OK:
             return await self._deliver_events(exchange, head)
         body = await self._timeout.wait(
-            exchange.read_body(self.limit_bytes), has_begun=False
+            exchange.read_body(self.limit_bytes, self._response.answer_memory),
+            has_begun=False,
         )
         self.is_complete = head.body_end is not BodyEnd.CONNECTION
         self.on_whole()
@@ -195,6 +197,7 @@
             if chunk is None:
                 break
             await self._forward_events(splitter.feed(chunk), head)
+            self._reserve(len(splitter.incomplete))
             self._progress.last_event_id = splitter.last_event_id
         self._answer_end.partial_event_bytes = len(splitter.incomplete)
         if splitter.is_inside_event and _has_events(head):
@@ -212,6 +215,12 @@
         self.is_broken = not self.is_complete and not self.first_event_at
         return Outcome(Ending.DELIVERED)
 
+    def _reserve(self, incomplete_bytes: int) -> None:
+        """Reserve the bytes of a large event; raise MemoryScarceError."""
+        memory = self._response.answer_memory
+        if memory.size_bytes or incomplete_bytes > SMALL_BYTES:
+            memory.resize(incomplete_bytes)
+
     async def _forward_events(self, events: bytes, head: ResponseHead) -> None:
         if not events:
             return
--- a/jacinthfold/proxy/forwarding.py
+++ b/jacinthfold/proxy/forwarding.py
@@ -84,6 +84,9 @@
         prepared = progress.take_prepared()
         if prepared is not None:
             self._attempts.withdraw(prepared)
+        # What is left of a request may stay in memory for a while.
+        request.release_body()
+        progress.failed_outcome = None
         self._log_outcome(request, response, progress)
 
     async def _run_attempts(
--- a/jacinthfold/proxy/handover.py
+++ b/jacinthfold/proxy/handover.py
@@ -112,6 +112,8 @@
         return await self._wait_taken(request, progress, prepared)
 
     def _refusal(self, request: Request, progress: Progress) -> str:
+        if request.is_body_released:
+            return 'body_released'
         if progress.runs + 1 >= request.route.max_attempts:
             return 'attempts'
         if progress.not_run_count >= MAX_NOT_RUN_SENDS:
--- a/jacinthfold/proxy/listener.py
+++ b/jacinthfold/proxy/listener.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from http import HTTPStatus
 from typing import Protocol
 
 import h11
@@ -13,11 +15,15 @@
     CallerResponse,
     RawRequest,
 )
+from jacinthfold.proxy.unread_answers import UnreadAnswers
+from jacinthfold.request.messages import Headers, first_header
 from jacinthfold.transport.channel import Channel
 from jacinthfold.transport.errors import (
     ConnectionLostError,
     MalformedRequestError,
+    MemoryScarceError,
 )
+from jacinthfold.transport.memory import Reservation, process_memory
 
 # Callers reuse connections that were idle for nearly the full timeout; one
 # closed exactly then would lose their next request.
@@ -25,6 +31,11 @@
 BACKLOG = 512
 
 
+# A caller that is refused before its body was read sends it all the same. It
+# gets the response only if the connection stays open meanwhile.
+DISCARD_SECONDS = 2.0
+
+
 class Handler(Protocol):
     """Serve the requests of a listener."""
 
@@ -54,6 +65,12 @@
         self._idle: set[Channel] = set()
         self._has_ended = False
         self.active_request_count = 0
+        self.memory = process_memory.requests
+        self.unread = UnreadAnswers(process_memory.unread)
+        # Returns headers for a request for whose body there is no room.
+        self.no_room_headers: Callable[[Headers], Headers] = _no_headers
+        # Called when a request was refused since there is no room for it.
+        self.on_no_room: Callable[[], None] = _do_nothing
         # Set when this host shuts down: responses then close their connections.
         self.is_leaving = False
 
@@ -168,15 +185,17 @@
         if request is None:
             return False
         response = CallerResponse(
-            self._channel, self._parser, request.method == b'HEAD'
+            self._channel,
+            self._parser,
+            request.method == b'HEAD',
+            self._listener.unread,
         )
         try:
             await self._cancel_on_disconnect(
                 self._listener.respond(request, response)
             )
         finally:
-            if not response.is_finished:
-                response.abort()
+            _release(request, response)
         if not response.is_finished:
             return False
         return (
@@ -212,11 +231,35 @@
             status=status,
             reason=reason,
         )
+        await self._answer_unread(status, [])
+
+    async def _answer_unread(self, status: int, headers: Headers) -> None:
+        """Answer a request that wasn't read, and close its connection."""
         if self._parser.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return
-        response = CallerResponse(self._channel, self._parser, is_head=False)
+        response = CallerResponse(
+            self._channel,
+            self._parser,
+            is_head=False,
+            unread=self._listener.unread,
+        )
         response.closes_connection = True
-        await response.send(status, [], b'')
+        await response.send(status, headers, b'')
+        await self._discard()
+
+    async def _discard(self) -> None:
+        """Read what the caller still sends, for a while."""
+        with suppress(TimeoutError, ConnectionLostError):
+            async with asyncio.timeout(DISCARD_SECONDS):
+                await self._read_away(self._listener.limits.body_bytes)
+
+    async def _read_away(self, limit_bytes: int) -> None:
+        left_bytes = limit_bytes
+        while left_bytes > 0:
+            content = await self._channel.read()
+            left_bytes -= len(content)
+            if not content:
+                return
 
     async def _read(self) -> RawRequest | None:
         limits = self._listener.limits
@@ -230,14 +273,22 @@
         if not isinstance(head, h11.Request):
             return None
         _check_head_size(head, limits.head_bytes)
+        headers = list(head.headers.raw_items())
+        memory = self._listener.memory.reserve()
         try:
             async with asyncio.timeout(limits.idle_timeout_seconds):
-                body = await self._read_body(limits.body_bytes)
+                body = await self._read_body(limits.body_bytes, headers, memory)
+        except MemoryScarceError as error:
+            memory.close()
+            await self._refuse_large(headers, str(error))
+            return None
         except TimeoutError as error:
+            memory.close()
             raise MalformedRequestError(408, 'timed out in the body') from error
-        return RawRequest(
-            head.method, head.target, list(head.headers.raw_items()), body
-        )
+        except BaseException:
+            memory.close()
+            raise
+        return RawRequest(head.method, head.target, headers, body, memory)
 
     async def _wait_for_request(self, limits: CallerLimits) -> bool:
         if self._parser.trailing_data[0] or self._channel.has_unread_bytes:
@@ -256,17 +307,38 @@
         self._parser.receive_data(content)
         return True
 
-    async def _read_body(self, limit_bytes: int) -> bytes:
-        body = bytearray()
+    async def _read_body(
+        self, limit_bytes: int, headers: Headers, memory: Reservation
+    ) -> bytes:
+        declared_bytes = _declared_bytes(headers)
+        if declared_bytes > limit_bytes:
+            raise MalformedRequestError(413, 'declared body exceeds the limit')
+        memory.resize(declared_bytes)
+        chunks: list[bytes] = []
+        size_bytes = 0
         while True:
             event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
-                return bytes(body)
+                return b''.join(chunks)
             if not isinstance(event, h11.Data):
                 raise ConnectionLostError('caller disconnected within a body')
-            body += event.data
-            if len(body) > limit_bytes:
+            size_bytes += len(event.data)
+            if size_bytes > limit_bytes:
                 raise MalformedRequestError(413, 'body exceeds the limit')
+            memory.resize(max(declared_bytes, size_bytes))
+            chunks.append(bytes(event.data))
+
+    async def _refuse_large(self, headers: Headers, reason: str) -> None:
+        logs.warning(
+            'request_refused_no_memory',
+            listener=self._listener.name,
+            reason=reason,
+        )
+        self._listener.on_no_room()
+        await self._answer_unread(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            self._listener.no_room_headers(headers),
+        )
 
     async def _next_event(self) -> object:
         event = self._parse()
@@ -298,6 +370,27 @@
             self._channel.send(self._parser.send(event) or b'')
 
 
+def _release(request: RawRequest, response: CallerResponse) -> None:
+    request.memory.close()
+    response.answer_memory.close()
+    if not response.is_finished:
+        response.abort()
+
+
+def _declared_bytes(headers: Headers) -> int:
+    """Return the length that the parser has checked, 0 if none is declared."""
+    content = first_header(headers, b'content-length')
+    return int(content) if content else 0
+
+
+def _no_headers(_headers: Headers) -> Headers:
+    return []
+
+
+def _do_nothing() -> None:
+    """Do nothing when a request is refused."""
+
+
 def _check_head_size(head: h11.Request, limit_bytes: int) -> None:
     # The parser limits only heads that arrive in several pieces.
     sizes = [len(name) + len(content) for name, content in head.headers]
--- a/jacinthfold/proxy/metrics.py
+++ b/jacinthfold/proxy/metrics.py
@@ -1,5 +1,8 @@
 """Define the metrics of requests, attempts, keys and caps."""
 
+from collections.abc import Iterable
+from functools import partial
+
 from prometheus_client import (
     CollectorRegistry,
     Counter,
@@ -10,6 +13,7 @@
 
 from jacinthfold.catalogue.records import Catalogue
 from jacinthfold.catalogue.revision import counter_of
+from jacinthfold.transport.memory import MemoryBudget
 
 # From the first event of an idle engine to the longest time a caller waits.
 SECONDS_BUCKETS = (
@@ -106,6 +110,48 @@
         )
 
 
+class MemoryMetrics:
+    """Hold the metrics of the memory that callers and targets use."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        """Register the metrics."""
+        self.no_room = Counter(
+            'jacinthfold_gateway_requests_without_memory_total',
+            'Requests refused since there was no room for their bodies',
+            ('listener',),
+            registry=registry,
+        )
+        self.unread_ended = Counter(
+            'jacinthfold_gateway_unread_answers_ended_total',
+            'Answers ended since their callers did not read them, by reason',
+            ('reason',),
+            registry=registry,
+        )
+        self._held = Gauge(
+            'jacinthfold_gateway_memory_held_bytes',
+            'Bytes that callers and targets make this host hold, by holder',
+            ('holder',),
+            registry=registry,
+        )
+        self._limit = Gauge(
+            'jacinthfold_gateway_memory_limit_bytes',
+            'Bytes that each holder may have',
+            ('holder',),
+            registry=registry,
+        )
+
+    def follow(self, budgets: Iterable[MemoryBudget]) -> None:
+        """Show the state of budgets."""
+        for budget in budgets:
+            holder = budget.holder.value
+            self._held.labels(holder).set_function(
+                partial(getattr, budget, 'held_bytes')
+            )
+            self._limit.labels(holder).set_function(
+                partial(getattr, budget, 'limit_bytes')
+            )
+
+
 class ProxyMetrics:
     """Hold the metrics in their own registry."""
 
--- a/jacinthfold/proxy/retry_rules.py
+++ b/jacinthfold/proxy/retry_rules.py
@@ -14,7 +14,7 @@
     response: CallerResponse,
 ) -> bool:
     """Tell whether an attempt that ended this way may be followed."""
-    if progress.is_quarantined:
+    if progress.is_quarantined or request.is_body_released:
         return False
     if outcome.ending is Ending.NOT_RUN:
         return not response.has_started or (
--- a/jacinthfold/proxy/sender.py
+++ b/jacinthfold/proxy/sender.py
@@ -13,6 +13,7 @@
 from jacinthfold.transport.dialect import Dialect
 from jacinthfold.transport.errors import ConnectFailedError, ProxyError
 from jacinthfold.transport.exchange import Exchange
+from jacinthfold.transport.memory import SMALL_BYTES, process_memory
 from jacinthfold.transport.pool import ConnectionPool
 
 # Rejections have short bodies, if any.
@@ -126,6 +127,10 @@
         request.body,
         request.facts.request_id,
     )
+    if len(request.body) > SMALL_BYTES and process_memory.requests.is_scarce:
+        # The request has one try, so that others have room.
+        sending.on_release()
+        request.release_body()
     sending.head = await delivery.read_head(exchange)
     outcome = outcome_from_head(sending.head, is_peer=delivery.is_peer)
     if delivery.is_prepared:
--- a/jacinthfold/proxy/sending.py
+++ b/jacinthfold/proxy/sending.py
@@ -24,6 +24,7 @@
         'headers',
         'on_end',
         'on_outcome',
+        'on_release',
         'request',
     )
 
@@ -47,6 +48,8 @@
         self.head: ResponseHead | None = None
         # Called once when the send is over, however it ended.
         self.on_end: Callable[[], None] = _ignore_end
+        # Called before the body is released, as memory is scarce.
+        self.on_release: Callable[[], None] = _ignore_end
         # Called with the outcome of a send that was not withdrawn.
         self.on_outcome: Callable[[Outcome], None] = _ignore_outcome
 
--- a/jacinthfold/proxy/target_sends.py
+++ b/jacinthfold/proxy/target_sends.py
@@ -86,6 +86,9 @@
             self._headers(request, progress, estimate),
             delivery,
         )
+        sending.on_release = partial(
+            self._crash_detector.keep_fingerprint, request
+        )
         sending.on_end = partial(self._end, load, attempt, delivery)
         sending.on_outcome = partial(
             self._outcomes.record, request, estimate, delivery, began_at
--- a/jacinthfold/quarantine/crash_detector.py
+++ b/jacinthfold/quarantine/crash_detector.py
@@ -92,6 +92,10 @@
             incarnation.send_times.append(now)
         return attempt
 
+    def keep_fingerprint(self, request: Request) -> None:
+        """Keep the fingerprint of a request whose body will be released."""
+        self._fingerprints.keep(request)
+
     def record_finish(
         self,
         attempt: Attempt,
@@ -114,6 +118,7 @@
         incarnation.attempts.remove(attempt)
         self._record_head(attempt)
         if is_broken:
+            self._fingerprints.keep(attempt.request)
             self._record_broken(incarnation, attempt)
         elif (
             not incarnation.attempts
--- a/jacinthfold/quarantine/fingerprints.py
+++ b/jacinthfold/quarantine/fingerprints.py
@@ -43,8 +43,14 @@
         self._key = key
         logs.event('fingerprints_keyed')
 
+    def keep(self, request: Request) -> None:
+        """Keep a request's fingerprint for when its body is gone."""
+        request.fingerprint = self.of(request)
+
     def of(self, request: Request) -> str:
         """Return a request's fingerprint, empty until the key is known."""
+        if request.fingerprint is not None:
+            return request.fingerprint
         # Includes the caller, so that nobody can have another caller's request
         # refused by sending the same body.
         facts = request.facts
--- a/jacinthfold/request/messages.py
+++ b/jacinthfold/request/messages.py
@@ -7,6 +7,7 @@
 from jacinthfold.hashing import bounded_name
 from jacinthfold.organisations.model import Organisation
 from jacinthfold.request.stream_origin import StreamOrigin
+from jacinthfold.transport.memory import Reservation
 
 Headers = list[tuple[bytes, bytes]]
 # Priorities of routes that are told apart within one priority of organisations;
@@ -117,10 +118,13 @@
         'body',
         'deadline',
         'facts',
+        'fingerprint',
         'headers',
         'has_permit',
+        'is_body_released',
         'is_demand_counted',
         'is_relayed',
+        'memory',
         'method',
         'organisation',
         'origin',
@@ -146,6 +150,12 @@
         self.headers = headers
         self.body = body
         self.facts = facts
+        # Kept where it is needed after the body; None before that.
+        self.fingerprint: str | None = None
+        # What the body uses of the memory for bodies.
+        self.memory: Reservation | None = None
+        # Without its body it can't be sent again.
+        self.is_body_released = False
         self.path = target.split(b'?', 1)[0].decode('latin-1')
         self.received_at = 0.0
         self.deadline = 0.0
@@ -180,6 +190,15 @@
         """Check whether it may run more than once."""
         return self.route.retry_policy is not RetryPolicy.NEVER
 
+    def release_body(self) -> None:
+        """Let go of the body, as the request will not be sent again."""
+        self.is_body_released = True
+        self.body = b''
+        # Another body would have another fingerprint.
+        self.fingerprint = self.fingerprint or ''
+        if self.memory is not None:
+            self.memory.close()
+
     def may_run_at(self, software_version: str) -> bool:
         """Check whether targets of a software version may serve it."""
         return self.origin is None or self.origin.admits(software_version)
--- a/jacinthfold/transport/channel.py
+++ b/jacinthfold/transport/channel.py
@@ -11,7 +11,12 @@
 # Reading pauses above this and resumes when the reader has taken the bytes.
 # Callers' bodies are read as they arrive, so it limits the memory held for a
 # slow reader.
-READ_AHEAD_BYTES = 262144
+READ_AHEAD_BYTES = 65536
+RECEIVE_BYTES = 65536
+# A write waits while this much has not been sent.
+SEND_BUFFER_BYTES = 32768
+# Larger content is written in such pieces, so that the buffer stays small.
+PIECE_BYTES = 65536
 # A peer that no longer acknowledges data is detected after this; without it a
 # connection to a machine that lost power hangs for minutes. Probes end by it
 # too: one that is sent two seconds into a silence must be followed by others.
@@ -22,9 +27,12 @@
 
 # On, for no seconds: a socket that is closed sends a reset.
 _NO_LINGER = struct.pack('ii', 1, 0)
+# All connections receive into it: the event loop hands the bytes over before
+# it receives again.
+_receive_buffer = bytearray(RECEIVE_BYTES)
 
 
-class Channel(asyncio.Protocol):
+class Channel(asyncio.BufferedProtocol):
     """Read and write one connection and detect when the peer closes it."""
 
     def __init__(self) -> None:
@@ -75,10 +83,29 @@
         self._resume_reading()
         return content
 
+    @property
+    def is_write_paused(self) -> bool:
+        """Check whether the peer has not read enough to write on."""
+        return self._is_paused and not self._is_closed()
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return how many bytes wait to be sent."""
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
+
     async def write(self, content: bytes) -> None:
         """Send bytes and wait until the send buffer drains."""
-        self.send(content)
-        while self._is_paused and not self._is_closed():
+        start = 0
+        while not start or start < len(content):
+            self.send(content[start : start + PIECE_BYTES])
+            start += PIECE_BYTES
+            await self.drain()
+
+    async def drain(self) -> None:
+        """Wait until the send buffer drains or the connection ends."""
+        while self.is_write_paused:
             self._wake_writer = asyncio.get_running_loop().create_future()
             await self._wake_writer
 
@@ -110,13 +137,18 @@
         """Store the transport and configure its socket."""
         if isinstance(transport, asyncio.Transport):
             self._transport = transport
+            transport.set_write_buffer_limits(SEND_BUFFER_BYTES)
         set_up_socket(transport.get_extra_info('socket'))
         own = transport.get_extra_info('sockname')
         self.local_address = own[0] if own else ''
 
-    def data_received(self, content: bytes) -> None:
-        """Buffer received bytes for the reader."""
-        self._received += content
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return where the event loop is to put received bytes."""
+        return _receive_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Keep the bytes that were received for the reader."""
+        self._received += memoryview(_receive_buffer)[:nbytes]
         too_much = len(self._received) > READ_AHEAD_BYTES
         if too_much and self._transport is not None:
             self._transport.pause_reading()
--- a/jacinthfold/transport/errors.py
+++ b/jacinthfold/transport/errors.py
@@ -22,6 +22,10 @@
     """Report bytes that are not a valid response to the request."""
 
 
+class MemoryScarceError(ProxyError):
+    """Report that a host has no room for bytes of a caller or a target."""
+
+
 class MalformedRequestError(ProxyError):
     """Report a caller's bytes that are not a valid request."""
 
--- a/jacinthfold/transport/exchange.py
+++ b/jacinthfold/transport/exchange.py
@@ -10,13 +10,14 @@
     first_header,
 )
 from jacinthfold.request.numbers import excerpt
-from jacinthfold.transport.body_buffer import BodyBuffer, process_buffers
-from jacinthfold.transport.channel import Channel
+from jacinthfold.transport.body_buffer import BodyBuffer
+from jacinthfold.transport.channel import PIECE_BYTES, Channel
 from jacinthfold.transport.dialect import Dialect
 from jacinthfold.transport.errors import (
     ConnectionLostError,
     MalformedResponseError,
 )
+from jacinthfold.transport.memory import Reservation, process_memory
 
 HEAD_LIMIT_BYTES = 65536
 # Far above any response, also of a HEAD request.
@@ -64,6 +65,9 @@
             framed.append((b'Content-Length', str(len(body)).encode()))
         request = h11.Request(method=method, target=target, headers=framed)
         wire = self._parser.send(request) or b''
+        if len(body) > PIECE_BYTES:
+            await self._send_large(wire, body)
+            return
         if body:
             wire += self._parser.send(h11.Data(data=body)) or b''
         wire += self._parser.send(h11.EndOfMessage()) or b''
@@ -99,14 +103,17 @@
             return None
         raise MalformedResponseError(f'{event!r} inside a body')
 
-    async def read_body(self, limit_bytes: int) -> bytes:
-        """Return the whole body; raise ProxyError."""
-        with BodyBuffer(process_buffers, limit_bytes) as buffer:
-            while True:
-                chunk = await self.read_chunk()
-                if chunk is None:
-                    return buffer.content()
-                buffer.add(chunk)
+    async def read_body(
+        self, limit_bytes: int, reservation: Reservation | None = None
+    ) -> bytes:
+        """Return the whole body; raise ProxyError.
+
+        Its bytes stay reserved, if a reservation is given.
+        """
+        if reservation is not None:
+            return await self._read_body(BodyBuffer(reservation, limit_bytes))
+        with process_memory.answers.reserve() as own:
+            return await self._read_body(BodyBuffer(own, limit_bytes))
 
     def may_reuse(self) -> bool:
         """Check whether the connection can be used for another request."""
@@ -126,6 +133,34 @@
             and not self._channel.is_peer_closed
         )
 
+    async def _send_large(self, head: bytes, body: bytes) -> None:
+        try:
+            await self._channel.write(head)
+            await self._send_pieces(body)
+        except ConnectionLostError:
+            # A target may answer and close before it has read the body.
+            if not self._channel.has_unread_bytes:
+                raise
+            return
+        self._parser.send(h11.EndOfMessage())
+
+    async def _send_pieces(self, body: bytes) -> None:
+        # Each piece is copied, but never the body as a whole.
+        start = 0
+        while start < len(body):
+            piece = body[start : start + PIECE_BYTES]
+            await self._channel.write(
+                self._parser.send(h11.Data(data=piece)) or b''
+            )
+            start += PIECE_BYTES
+
+    async def _read_body(self, buffer: BodyBuffer) -> bytes:
+        while True:
+            chunk = await self.read_chunk()
+            if chunk is None:
+                return buffer.content()
+            buffer.add(chunk)
+
     async def _next_head(self) -> ResponseHead:
         event = await self._next_event()
         informational_count = 0
--- a/jacinthfold/transport/http_call.py
+++ b/jacinthfold/transport/http_call.py
@@ -12,6 +12,7 @@
 )
 from jacinthfold.transport.errors import MalformedResponseError, ProxyError
 from jacinthfold.transport.exchange import Exchange
+from jacinthfold.transport.memory import process_memory
 from jacinthfold.transport.pool import ConnectionPool
 
 CONNECT_TIMEOUT_SECONDS = 0.6
@@ -132,5 +133,6 @@
             headers.append((b'Content-Type', b'application/json'))
         await exchange.send(method.encode(), target.encode(), headers, body, '')
         head = await exchange.read_head()
-        content = await exchange.read_body(BODY_LIMIT_BYTES)
+        with process_memory.calls.reserve() as reservation:
+            content = await exchange.read_body(BODY_LIMIT_BYTES, reservation)
         return head, content
