Expect of streams at a stopped host what slow ones of late have taken

Cause: the host expected 1.5 s and 11 ms a token, whatever its targets take.

Now the host learns by service how much longer than that streams take: the largest ratio of late, of which each later stream takes away a fiftieth of what it doesn't confirm, from 1 (the start value) to 5. What waits at the host goes by it too. A stream that is not taken on is refused as not run, and another host serves it.

Ruled out: refusing all streams whose deadline is past the end (a deadline of 60 s would refuse nearly all that end with ease).

--- a/jacinthfold/gateway/drain.py
+++ b/jacinthfold/gateway/drain.py
@@ -15,6 +15,13 @@
 # count is an upper bound.
 SECONDS_PER_OUTPUT_TOKEN = 0.011
 SECONDS_BEFORE_OUTPUT = 1.5
+# Streams that take longer than expected raise what is expected of others of
+# their service; each later one takes away a part of what it doesn't confirm.
+MAX_SLOWNESS = 5.0
+SLOWNESS_DECAY = 0.02
+SLOWNESS_MARGIN = 1.1
+# Services whose slowness is remembered.
+MAX_SERVICES = 256
 # Part of the grace period reserved for writing the last bytes.
 WRITE_MARGIN_SECONDS = 0.4
 
@@ -26,6 +33,8 @@
         """Create the state of a host that is not draining."""
         self._clock = clock
         self._started_at: float | None = None
+        # Largest ratio of taken to expected seconds of late, by service.
+        self._slowness: dict[str, float] = {}
         self.ends_at = 0.0
 
     def begin(self, grace_seconds: float) -> None:
@@ -47,11 +56,8 @@
         now = self._clock.monotonic()
         longest_seconds = request.deadline - now
         if request.route.is_stream:
-            output_seconds = (
-                request.facts.output_tokens * SECONDS_PER_OUTPUT_TOKEN
-            )
             longest_seconds = min(
-                longest_seconds, output_seconds + SECONDS_BEFORE_OUTPUT
+                longest_seconds, self._expected_seconds(request)
             )
         return now + longest_seconds < self.ends_at
 
@@ -62,8 +68,32 @@
         if self._started_at is None:
             return True
         now = self._clock.monotonic()
-        seconds = (
-            request.facts.output_tokens * SECONDS_PER_OUTPUT_TOKEN
-            + SECONDS_BEFORE_OUTPUT
-        )
+        seconds = self._expected_seconds(request)
         return now + min(seconds, request.deadline - now) < self.ends_at
+
+    def record_stream(self, request: Request) -> None:
+        """Record that a stream has just been served from its first event."""
+        service = request.service_name
+        known = self._slowness.get(service)
+        if known is None and len(self._slowness) >= MAX_SERVICES:
+            return
+        taken_seconds = self._clock.monotonic() - request.received_at
+        ratio = taken_seconds / _usual_seconds(request)
+        ratio = min(MAX_SLOWNESS, max(1.0, ratio))
+        if known is not None:
+            ratio = max(ratio, known - (known - ratio) * SLOWNESS_DECAY)
+        self._slowness[service] = ratio
+
+    def _expected_seconds(self, request: Request) -> float:
+        """Return what the slowest streams of late would take."""
+        slowness = self._slowness.get(request.service_name, 1.0)
+        return _usual_seconds(request) * (
+            1.0 + (slowness - 1.0) * SLOWNESS_MARGIN
+        )
+
+
+def _usual_seconds(request: Request) -> float:
+    return (
+        request.facts.output_tokens * SECONDS_PER_OUTPUT_TOKEN
+        + SECONDS_BEFORE_OUTPUT
+    )
--- a/jacinthfold/gateway/node.py
+++ b/jacinthfold/gateway/node.py
@@ -103,6 +103,7 @@
             self._clock,
         )
         forwarder.resolve_origin = self._origins.resolve
+        forwarder.on_stream_served = self._drain.record_stream
         self._waiting = forwarder.placement.waiting
         self._waiting.set_limit(self.settings.overload.waiting_requests)
         self._waiting.may_start = self._drain.may_start
--- a/jacinthfold/proxy/forwarding.py
+++ b/jacinthfold/proxy/forwarding.py
@@ -62,6 +62,8 @@
         attempts.hooks.discard_next = handover.discard
         # Finds where a stream began that its caller takes up again.
         self.resolve_origin: Callable[[Request], Awaitable[None]] = _skip
+        # Called with a stream that was served whole, from its first event.
+        self.on_stream_served: Callable[[Request], None] = _ignore_served
 
     async def serve(self, request: Request, response: CallerResponse) -> None:
         """Serve a request; a response that broke midway stays unfinished."""
@@ -175,6 +177,8 @@
     ) -> None:
         if response.status < HTTPStatus.INTERNAL_SERVER_ERROR:
             self._quarantine.record_served(request)
+            if request.route.is_stream and not request.facts.last_event_id:
+                self.on_stream_served(request)
 
     async def _attempt(
         self,
@@ -261,3 +265,7 @@
 
 async def _skip(_request: Request) -> None:
     """Find nothing about a request."""
+
+
+def _ignore_served(_: Request) -> None:
+    """Do nothing with a stream that was served."""
--- a/tools/ablations/promises.py
+++ b/tools/ablations/promises.py
@@ -129,4 +129,64 @@
         'tests/gateway/test_stream_origin.py::'
         'test_host_without_a_proof_does_not_trust_the_only_version',
     ),
+    Ablation(
+        'stop: slow streams raise what is expected of others',
+        [
+            (
+                'gateway/drain.py',
+                '        self._slowness[service] = ratio',
+                '        self._slowness[service] = 1.0',
+            ),
+        ],
+        'tests/gateway/test_drain.py::'
+        'test_stopped_host_takes_on_no_stream_that_it_would_cut_off',
+    ),
+    Ablation(
+        'memory: a body takes its declared length first',
+        [
+            (
+                'proxy/listener.py',
+                '        memory.resize(declared_bytes)',
+                '        memory.resize(0)',
+            ),
+        ],
+        'tests/gateway/test_held_memory.py::'
+        'test_bodies_being_sent_leave_room_for_small_requests',
+    ),
+    Ablation(
+        'memory: large bodies are let go once they are sent',
+        [
+            (
+                'proxy/sender.py',
+                '        request.release_body()',
+                '        pass',
+            ),
+        ],
+        'tests/gateway/test_held_memory.py::'
+        'test_large_bodies_are_let_go_once_they_are_sent',
+    ),
+    Ablation(
+        'memory: a request without its body has no further try',
+        [
+            (
+                'proxy/retry_rules.py',
+                ' or request.is_body_released',
+                '',
+            ),
+        ],
+        'tests/gateway/test_held_memory.py::'
+        'test_request_without_its_body_is_not_sent_again',
+    ),
+    Ablation(
+        'memory: an unread answer that waits longest ends',
+        [
+            (
+                'proxy/unread_answers.py',
+                '            if answer.read_at <= latest:',
+                '            if answer.read_at < 0:',
+            ),
+        ],
+        'tests/gateway/test_held_memory.py::'
+        'test_answers_that_nobody_reads_end_and_others_go_on',
+    ),
 ]
