Don't take the answer of a host of an earlier version for a record

Such a host answers with the only version that it knows without saying so, and the answer counted as proof of where a stream began (ORDER while two builds run side by side). An answer without the mark now counts as inferred: against another version, never for one. Hosts since always send the mark, so nothing else changes.

--- a/jacinthfold/streams/messages.py
+++ b/jacinthfold/streams/messages.py
@@ -28,8 +28,9 @@
 
     number: int
     version: str | None
-    # Whether the version is only the one that the host knows of.
-    is_inferred: bool = False
+    # Whether the version is only the one that the host knows of. Hosts that
+    # don't say so may have inferred it.
+    is_inferred: bool = True
     # Whether the host knows of several versions.
     is_mixed: bool = False
 
--- a/tools/ablations/promises.py
+++ b/tools/ablations/promises.py
@@ -149,6 +149,11 @@
                 '        memory.resize(declared_bytes)',
                 '        memory.resize(0)',
             ),
+            (
+                'proxy/listener.py',
+                '            memory.resize(max(declared_bytes, size_bytes))',
+                '            memory.resize(size_bytes)',
+            ),
         ],
         'tests/gateway/test_held_memory.py::'
         'test_bodies_being_sent_leave_room_for_small_requests',
