--- a/tests/gateway/test_answers_without_length.py
+++ b/tests/gateway/test_answers_without_length.py
@@ -154,7 +154,9 @@
 
     async def read_after_both():
         channel = Channel()
-        channel.data_received(b'all of it')
+        content = b'all of it'
+        channel.get_buffer(-1)[: len(content)] = content
+        channel.buffer_updated(len(content))
         channel.eof_received()
         channel.connection_lost(ConnectionResetError())
         return await channel.read(), await channel.read()
