Collect bodies and answers in one buffer, not in an object for each chunk

A body that comes in chunks of two bytes held some twenty times its bytes: an object for each chunk, of which the budget counted two bytes.

--- a/jacinthfold/proxy/listener.py
+++ b/jacinthfold/proxy/listener.py
@@ -29,8 +29,6 @@
 # closed exactly then would lose their next request.
 IDLE_MARGIN_SECONDS = 2.0
 BACKLOG = 512
-
-
 # A caller that is refused before its body was read sends it all the same. It
 # gets the response only if the connection stays open meanwhile.
 DISCARD_SECONDS = 2.0
@@ -314,19 +312,17 @@
         if declared_bytes > limit_bytes:
             raise MalformedRequestError(413, 'declared body exceeds the limit')
         memory.resize(declared_bytes)
-        chunks: list[bytes] = []
-        size_bytes = 0
+        body = bytearray()
         while True:
             event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
-                return b''.join(chunks)
+                return bytes(body)
             if not isinstance(event, h11.Data):
                 raise ConnectionLostError('caller disconnected within a body')
-            size_bytes += len(event.data)
-            if size_bytes > limit_bytes:
+            body += event.data
+            if len(body) > limit_bytes:
                 raise MalformedRequestError(413, 'body exceeds the limit')
-            memory.resize(max(declared_bytes, size_bytes))
-            chunks.append(bytes(event.data))
+            memory.resize(max(declared_bytes, len(body)))
 
     async def _refuse_large(self, headers: Headers, reason: str) -> None:
         logs.warning(
--- a/jacinthfold/transport/body_buffer.py
+++ b/jacinthfold/transport/body_buffer.py
@@ -10,14 +10,14 @@
     A target that fails may send bytes without end.
     """
 
-    __slots__ = ('_chunks', '_limit_bytes', '_reservation', '_size')
+    __slots__ = ('_content', '_limit_bytes', '_reservation')
 
     def __init__(self, reservation: Reservation, limit_bytes: int) -> None:
         """Start empty, with a limit of its own."""
         self._reservation = reservation
         self._limit_bytes = limit_bytes
-        self._chunks: list[bytes] = []
-        self._size = 0
+        # Chunks of a few bytes would each cost an object.
+        self._content = bytearray()
 
     def add(self, chunk: bytes) -> None:
         """Append bytes.
@@ -25,12 +25,11 @@
         Raise MalformedResponseError if the answer is too large, and
         MemoryScarceError if all answers together are.
         """
-        self._size += len(chunk)
-        if self._size > self._limit_bytes:
+        if len(self._content) + len(chunk) > self._limit_bytes:
             raise MalformedResponseError(f'body over {self._limit_bytes} bytes')
         self._reservation.grow(len(chunk))
-        self._chunks.append(chunk)
+        self._content += chunk
 
     def content(self) -> bytes:
         """Return all bytes."""
-        return b''.join(self._chunks)
+        return bytes(self._content)
--- a/tests/gateway/test_held_memory.py
+++ b/tests/gateway/test_held_memory.py
@@ -4,11 +4,13 @@
 import socket
 import threading
 import time
+import tracemalloc
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from jacinthfold.transport.body_buffer import BodyBuffer
 from jacinthfold.transport.errors import MemoryScarceError
 from jacinthfold.transport.memory import Holder, MemoryBudget
 from tests.gateway import target_standin as standin
@@ -280,3 +282,15 @@
         reservation.close()
         reservation.close()
     assert (budget.held_bytes, budget.large_bytes) == (0, 0)
+
+
+def test_tiny_chunks_cost_no_object_each():
+    """Guards against answers that hold many times their bytes."""
+    tracemalloc.start()
+    with MemoryBudget(Holder.ANSWERS, 400000).reserve() as memory:
+        buffer = BodyBuffer(memory, 400000)
+        for number in range(100000):
+            buffer.add(number.to_bytes(4)[2:])
+        held_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert held_bytes < 2 * 200000
--- a/tools/ablations/promises.py
+++ b/tools/ablations/promises.py
@@ -151,8 +151,8 @@
             ),
             (
                 'proxy/listener.py',
-                '            memory.resize(max(declared_bytes, size_bytes))',
-                '            memory.resize(size_bytes)',
+                '            memory.resize(max(declared_bytes, len(body)))',
+                '            memory.resize(len(body))',
             ),
         ],
         'tests/gateway/test_held_memory.py::'
