--- a/jacinthfold/gateway/memory_bounds.py
+++ b/jacinthfold/gateway/memory_bounds.py
@@ -11,7 +11,7 @@
 from jacinthfold.proxy.unread_answers import UnreadAnswers
 from jacinthfold.request.messages import Headers
 from jacinthfold.transport.dialect import Dialect
-from jacinthfold.transport.memory import process_memory, return_freed_memory
+from jacinthfold.transport.memory import process_memory
 
 # Retry-After of a host without room for a body. Spread, so that those that were
 # refused together don't return together.
@@ -27,7 +27,6 @@
 ) -> None:
     """Share out the memory of a process of so many MB."""
     process_memory.set_limit(limit_mb)
-    return_freed_memory()
     metrics = MemoryMetrics(registry)
     metrics.follow(process_memory.budgets)
     unread = UnreadAnswers(process_memory.unread)
--- a/jacinthfold/transport/memory.py
+++ b/jacinthfold/transport/memory.py
@@ -1,10 +1,8 @@
 """Bound the bytes that callers and targets make this process hold."""
 
-import ctypes
 from collections.abc import Callable
 from enum import Enum
 
-from jacinthfold import logs
 from jacinthfold.transport.errors import MemoryScarceError
 
 # What a host may hold beside its program, tables and connections, as a share
@@ -18,11 +16,6 @@
 LARGE_SHARE = 0.8
 
 
-# Blocks from this size on are returned to the system when they are freed.
-MMAP_BYTES = 524288
-_M_MMAP_THRESHOLD = -3
-
-
 class Holder(Enum):
     """Name what holds bytes, with its share of the budget."""
 
@@ -157,17 +150,6 @@
     """Leave all reservations as they are."""
 
 
-def return_freed_memory() -> None:
-    """Have the C library return large blocks to the system once freed.
-
-    By default it keeps blocks of up to 32 MB for later ones.
-    """
-    try:
-        ctypes.CDLL(None).mallopt(_M_MMAP_THRESHOLD, MMAP_BYTES)
-    except (AttributeError, OSError) as error:
-        logs.warning('freed_memory_kept', reason=str(error))
-
-
 def _large(size_bytes: int) -> int:
     return size_bytes if size_bytes > SMALL_BYTES else 0
 
