--- a/bench/held_memory.py
+++ b/bench/held_memory.py
@@ -16,6 +16,7 @@
 from pathlib import Path
 
 from bench.output import table
+from jacinthfold.platform.dialect import REQUEST_ID
 from tests.gateway import deployment
 from tests.gateway.deployment import Deployment, new_id, route, wait_served
 from tests.gateway.target_standin import echoed, serve_plain, stream_head
@@ -130,7 +131,8 @@
             return 'no connection'
         head = (
             f'POST {path} HTTP/1.1\r\nHost: api.example\r\n'
-            f'Attempt-Id: {new_id()}\r\nContent-Length: {len(body)}\r\n'
+            f'{REQUEST_ID.decode()}: {new_id()}\r\n'
+            f'Content-Length: {len(body)}\r\n'
             'Connection: close\r\n\r\n'
         )
         try:
