Don't count the wait for a proof towards a stream's latency objective

The time counts from the end of the wait now; the deadline stays.

Evidence: test_wait_for_a_proof_makes_no_stream_late fails without it.

--- a/jacinthfold/streams/origins.py
+++ b/jacinthfold/streams/origins.py
@@ -84,8 +84,11 @@
             return
         # A relaying host of the previous version resumes its own attempt.
         attempt_id = facts.resumed_id or facts.request_id
+        asked_at = self._clock.monotonic()
         version, source = await self._find(request.service_name, attempt_id)
         request.origin = StreamOrigin(attempt_id, version)
+        # Otherwise the wait for a proof would have it rejected as late.
+        request.received_at += self._clock.monotonic() - asked_at
         if source != 'only':
             logs.event(
                 'stream_taken_up',
--- a/tests/gateway/test_stream_origin.py
+++ b/tests/gateway/test_stream_origin.py
@@ -453,6 +453,24 @@
     assert request.origin.software_version is None
 
 
+def test_wait_for_a_proof_makes_no_stream_late():
+    """Guards against streams that are refused since their host asked."""
+    scene = Scene()
+    scene.add('i-1', software_version='v1')
+    alone = origins_of(scene, host('a'), [])
+
+    async def prove_late(_as_of):
+        scene.clock.advance(1.9)
+        scene.receive_report(0.0)
+        return True
+
+    alone.prove_current = prove_late
+    request = taken_up(scene)
+    asyncio.run(alone.resolve(request))
+    assert request.origin.software_version == 'v1'
+    assert isinstance(scene.choose(request), SendTo)
+
+
 def origins_of(scene, own, others):
     return StreamOrigins(
         hosts_of(own, others, scene.clock),
