--- a/tools/ablations/streams.py
+++ b/tools/ablations/streams.py
@@ -241,4 +241,15 @@
         ],
         f'{ORIGIN}::test_version_that_the_proof_brings_counts',
     ),
+    Ablation(
+        'streams: the wait for a proof makes none late',
+        [
+            (
+                'streams/origins.py',
+                '        request.received_at += self._clock.monotonic() - asked_at',
+                '        del asked_at',
+            ),
+        ],
+        f'{ORIGIN}::test_wait_for_a_proof_makes_no_stream_late',
+    ),
 ]
