Log and count why streams that callers take up don't go on

From the users' record nobody can tell what a stream that was taken up got: stream_taken_up wasn't written where a service has one version, no line of a refusal said that it was of such a stream, and the counter of resumed streams left out all rejections but those for good.

Now stream_taken_up is written for each, with the hosts asked and answered and the time that took; request_served and request_not_served carry the event after which it goes on; streams_total counts new ones and those taken up by how they began, so that their shares can be compared.

--- a/jacinthfold/proxy/forwarding.py
+++ b/jacinthfold/proxy/forwarding.py
@@ -9,7 +9,7 @@
 from jacinthfold.placement.budget import RetryBudgets
 from jacinthfold.placement.choice import Placer
 from jacinthfold.placement.decision import Choice, Reject, RelayTo, SendTo
-from jacinthfold.proxy import request_log
+from jacinthfold.proxy import request_log, stream_log
 from jacinthfold.proxy.admission import Admission
 from jacinthfold.proxy.admitted_placement import (
     MAX_NOT_RUN_SENDS,
@@ -122,9 +122,8 @@
             self._rejection_lines.log(request, choice)
             if choice.reason == 'no_place':
                 self._metrics.places.no_place.labels(request.service_name).inc()
-            if choice.is_permanent:
-                resumed_by = _resumed_by(request, response)
-                self._count_resumed(request, resumed_by, choice.reason)
+            resumed_by = _resumed_by(request, response)
+            self._count_resumed(request, resumed_by, choice.reason)
             progress.record_placement_rejection(choice)
             progress.next_attempt.missing_reason = choice.reason
             return False
@@ -168,7 +167,7 @@
         self, request: Request, resumed_by: str, ending: str
     ) -> None:
         if resumed_by:
-            self._metrics.resumed_streams.labels(
+            self._metrics.streams.resumed.labels(
                 request.service_name, resumed_by, ending
             ).inc()
 
@@ -213,6 +212,9 @@
     ) -> None:
         elapsed = self._clock.monotonic() - request.received_at
         self._count_outcome(request, response, elapsed)
+        stream_log.count_stream(
+            self._metrics.streams.beginnings, request, progress
+        )
         fields = {
             'request': request.facts.request_id,
             'service': request.service_name,
@@ -224,6 +226,7 @@
         fields |= progress.answer_end.log_fields()
         if progress.first_event_seconds is not None:
             fields['first_seconds'] = progress.first_event_seconds
+        fields |= stream_log.fields_of(request)
         if response.is_finished and response.status < HTTPStatus.BAD_REQUEST:
             logs.event('request_served', **fields)
             return
@@ -259,8 +262,7 @@
     """Return who resumes a stream with the next attempt, '' for new ones."""
     if response.has_started:
         return 'host'
-    facts = request.facts
-    return 'caller' if facts.last_event_id or facts.resumed_id else ''
+    return 'caller' if request.facts.is_taken_up else ''
 
 
 async def _skip(_request: Request) -> None:
--- a/jacinthfold/proxy/metrics.py
+++ b/jacinthfold/proxy/metrics.py
@@ -110,6 +110,26 @@
         )
 
 
+class StreamMetrics:
+    """Hold the counters of streams that begin, or that go on."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        """Register the counters."""
+        self.beginnings = Counter(
+            'jacinthfold_gateway_streams_total',
+            'Streams of callers by whether they were taken up, and by how they '
+            'began or why they did not',
+            ('service', 'is_taken_up', 'beginning'),
+            registry=registry,
+        )
+        self.resumed = Counter(
+            'jacinthfold_gateway_streams_resumed_total',
+            'Attempts to go on with a stream, by who resumed it and by outcome',
+            ('service', 'by', 'ending'),
+            registry=registry,
+        )
+
+
 class MemoryMetrics:
     """Hold the metrics of the memory that callers and targets use."""
 
@@ -190,12 +210,7 @@
             buckets=SECONDS_BUCKETS,
             registry=self.registry,
         )
-        self.resumed_streams = Counter(
-            'jacinthfold_gateway_streams_resumed_total',
-            'Attempts to go on with a stream, by who resumed it and by outcome',
-            ['service', 'by', 'ending'],
-            registry=self.registry,
-        )
+        self.streams = StreamMetrics(self.registry)
         self.answers = AnswerMetrics(self.registry)
         self.places = PlaceMetrics(self.registry)
         self.quarantined = Counter(
--- a/jacinthfold/request/messages.py
+++ b/jacinthfold/request/messages.py
@@ -90,6 +90,11 @@
         # takes up again; empty if it begins one.
         self.resumed_id = ''
 
+    @property
+    def is_taken_up(self) -> bool:
+        """Check whether the caller goes on with a stream that broke."""
+        return bool(self.last_event_id or self.resumed_id)
+
     @property
     def prefixes(self) -> tuple[PromptPrefix, ...]:
         """Return the prefixes of the prompt, one for each segment."""
--- a/jacinthfold/streams/exchange.py
+++ b/jacinthfold/streams/exchange.py
@@ -32,10 +32,18 @@
 class Testimony:
     """Hold what other hosts have answered about a stream."""
 
-    __slots__ = ('inferred', 'is_mixed', 'version')
-
-    def __init__(self) -> None:
-        """Start without answers."""
+    __slots__ = (
+        'answer_count',
+        'asked_count',
+        'inferred',
+        'is_mixed',
+        'version',
+    )
+
+    def __init__(self, asked_count: int = 0) -> None:
+        """Start without answers of the hosts that are asked."""
+        self.asked_count = asked_count
+        self.answer_count = 0
         # The version that a host has recorded.
         self.version: str | None = None
         # Versions that hosts take for the only one.
@@ -45,6 +53,7 @@
 
     def add(self, answer: OriginAnswer) -> None:
         """Add the answer of a host."""
+        self.answer_count += 1
         self.is_mixed = self.is_mixed or answer.is_mixed
         if answer.version is None:
             return
@@ -65,7 +74,7 @@
 
     def __init__(self, endpoints: set[Endpoint]) -> None:
         self.open_endpoints = endpoints
-        self.testimony = Testimony()
+        self.testimony = Testimony(len(endpoints))
         self.is_over = asyncio.Event()
 
     def apply(self, endpoint: Endpoint, answer: OriginAnswer) -> None:
--- a/jacinthfold/streams/origins.py
+++ b/jacinthfold/streams/origins.py
@@ -25,6 +25,22 @@
 MAX_LOGGED_CHARACTERS = 64
 
 
+class _Finding:
+    """Hold the version that began a stream, and who told it."""
+
+    __slots__ = ('source', 'testimony', 'version')
+
+    def __init__(
+        self,
+        version: str | None,
+        source: str,
+        testimony: Testimony | None = None,
+    ) -> None:
+        self.version = version
+        self.source = source
+        self.testimony = testimony or Testimony()
+
+
 class StreamOrigins:
     """Know at which software version the streams of callers began."""
 
@@ -77,38 +93,37 @@
     async def resolve(self, request: Request) -> None:
         """Find where a stream began that its caller takes up."""
         facts = request.facts
-        is_taken_up = facts.last_event_id or facts.resumed_id
-        if request.origin is not None or not is_taken_up:
+        if request.origin is not None or not facts.is_taken_up:
             return
         if request.route.retry_policy is not RetryPolicy.RESUMED:
             return
         # A relaying host of the previous version resumes its own attempt.
         attempt_id = facts.resumed_id or facts.request_id
         asked_at = self._clock.monotonic()
-        version, source = await self._find(request.service_name, attempt_id)
-        request.origin = StreamOrigin(attempt_id, version)
+        finding = await self._find(request.service_name, attempt_id)
+        request.origin = StreamOrigin(attempt_id, finding.version)
+        found_at = self._clock.monotonic()
         # Otherwise the wait for a proof would have it rejected as late.
-        request.received_at += self._clock.monotonic() - asked_at
-        if source != 'only':
-            logs.event(
-                'stream_taken_up',
-                request=facts.request_id,
-                service=request.service_name,
-                resumes=attempt_id[:MAX_LOGGED_CHARACTERS],
-                last_event_id=facts.last_event_id[:MAX_LOGGED_CHARACTERS],
-                software_version=version,
-                source=source,
-                knowledge_age_seconds=self._versions.knowledge_age(),
-            )
-
-    async def _find(
-        self, service: str, attempt_id: str
-    ) -> tuple[str | None, str]:
-        """Return the version that began a stream, and who told it."""
+        request.received_at += found_at - asked_at
+        logs.event(
+            'stream_taken_up',
+            request=facts.request_id,
+            service=request.service_name,
+            resumes=attempt_id[:MAX_LOGGED_CHARACTERS],
+            last_event_id=facts.last_event_id[:MAX_LOGGED_CHARACTERS],
+            software_version=finding.version,
+            source=finding.source,
+            asked_hosts=finding.testimony.asked_count,
+            answers=finding.testimony.answer_count,
+            find_seconds=found_at - asked_at,
+            knowledge_age_seconds=self._versions.knowledge_age(),
+        )
+
+    async def _find(self, service: str, attempt_id: str) -> _Finding:
         attempt = attempt_key(attempt_id)
-        version, source = self._recorded(service, attempt)
-        if version is not None:
-            return version, source
+        recorded = self._recorded(service, attempt)
+        if recorded is not None:
+            return recorded
         # The stream has begun before this, at a version that was in the store
         # by then.
         as_of = self._clock.boottime()
@@ -116,30 +131,31 @@
         try:
             testimony = await self.exchange.ask(service, attempt)
             if testimony.version is not None:
-                return testimony.version, 'asked'
+                return _Finding(testimony.version, 'asked', testimony)
             if testimony.is_mixed or self._versions.is_mixed(service):
-                return None, 'unknown'
+                return _Finding(None, 'unknown', testimony)
             is_current = await proving
         finally:
             proving.cancel()
-        version, source = self._recorded(service, attempt)
-        if version is not None:
-            return version, source
+        recorded = self._recorded(service, attempt)
+        if recorded is not None:
+            return recorded
         return self._only(service, testimony, is_current=is_current)
 
-    def _recorded(self, service: str, attempt: int) -> tuple[str | None, str]:
+    def _recorded(self, service: str, attempt: int) -> _Finding | None:
         version = self.table.version(attempt, service)
         if version is not None:
-            return version, 'own'
-        return self._stored.version(attempt, service), 'stored'
+            return _Finding(version, 'own')
+        version = self._stored.version(attempt, service)
+        return None if version is None else _Finding(version, 'stored')
 
     def _only(
         self, service: str, testimony: Testimony, *, is_current: bool
-    ) -> tuple[str | None, str]:
+    ) -> _Finding:
         only = self._versions.only(service) if is_current else None
         if only is None or not testimony.admits_only(only):
-            return None, 'unknown'
-        return only, 'only'
+            return _Finding(None, 'unknown', testimony)
+        return _Finding(only, 'only', testimony)
 
     def _tell(self, service: str, version: str, attempts: list[int]) -> None:
         self.exchange.tell(service, version, attempts)
