--- a/jacinthfold/proxy/region_sends.py
+++ b/jacinthfold/proxy/region_sends.py
@@ -14,9 +14,12 @@
 from jacinthfold.proxy.progress import Progress
 from jacinthfold.proxy.response_timeout import ResponseTimeout
 from jacinthfold.proxy.sending import Sending
-from jacinthfold.proxy.silence_limits import RELAY_MARGIN_SECONDS, SilenceLimits
 from jacinthfold.proxy.target_outcomes import TargetOutcomes
 from jacinthfold.request.messages import Headers, Request
+from jacinthfold.request.silence_limits import (
+    RELAY_MARGIN_SECONDS,
+    SilenceLimits,
+)
 from jacinthfold.transport.dialect import Dialect
 
 # The round trip to other regions takes 110 ms.
--- a/jacinthfold/proxy/response_timeout.py
+++ b/jacinthfold/proxy/response_timeout.py
@@ -17,7 +17,7 @@
 
 from jacinthfold import logs
 from jacinthfold.clock import Clock
-from jacinthfold.proxy.silence_limits import SilenceLimits
+from jacinthfold.request.silence_limits import SilenceLimits
 from jacinthfold.transport.errors import ProxyError
 
 Result = TypeVar('Result')
--- a/jacinthfold/proxy/target_outcomes.py
+++ b/jacinthfold/proxy/target_outcomes.py
@@ -11,8 +11,8 @@
 from jacinthfold.proxy.delivery import Delivery
 from jacinthfold.proxy.metrics import ProxyMetrics
 from jacinthfold.proxy.outcome import Ending, Outcome
-from jacinthfold.proxy.silence_limits import SOUND_SILENCE_SECONDS
 from jacinthfold.request.messages import Request
+from jacinthfold.request.silence_limits import SOUND_SILENCE_SECONDS
 
 # Requests that a target left waiting while it was silent to all end within this
 # time of each other.
--- a/jacinthfold/proxy/target_sends.py
+++ b/jacinthfold/proxy/target_sends.py
@@ -12,11 +12,11 @@
 from jacinthfold.proxy.progress import Progress
 from jacinthfold.proxy.response_timeout import ResponseTimeout
 from jacinthfold.proxy.sending import Sending
-from jacinthfold.proxy.silence_limits import SilenceLimits
 from jacinthfold.proxy.target_outcomes import TargetOutcomes
 from jacinthfold.quarantine.crash_detector import CrashDetector
 from jacinthfold.quarantine.crash_model import Attempt
 from jacinthfold.request.messages import Headers, Request
+from jacinthfold.request.silence_limits import SilenceLimits
 from jacinthfold.transport.dialect import Dialect
 
 # The reason of a rejection since a part crashes this version of the software.
--- a/tests/gateway/test_silent_targets.py
+++ b/tests/gateway/test_silent_targets.py
@@ -10,8 +10,8 @@
 from jacinthfold.proxy.metrics import ProxyMetrics
 from jacinthfold.proxy.outcome import Ending, Outcome
 from jacinthfold.proxy.response_timeout import ResponseTimeout
-from jacinthfold.proxy.silence_limits import SilenceLimits
 from jacinthfold.proxy.target_outcomes import TargetOutcomes
+from jacinthfold.request.silence_limits import SilenceLimits
 from tests.gateway import target_standin as standin
 from tests.gateway.deployment import pause, route, wait_served
 from tests.gateway.silent_targets import (
