Let streams that callers take up begin until their callers stop waiting

Cause: the time within which a first event must be expected was the objective of new requests for a stream that its caller takes up, too. Within one answer a host resumes until the deadline; for a caller that came back it didn't. All streams of killed hosts come back at once, at the few hosts that are left, and with several versions may go to a part of the targets only, so that they were late where new ones weren't.

Now they are placed while their first event is expected within the limit of silence after which an attempt is given up, three objectives, which is below what callers bear. The waiting queue goes by the same limit, and what can't come in time is rejected at once.

Ruled out: the deadline as the limit, as for retries: attempts that wait longer than three objectives are given up, so that they would only take capacity.

--- a/jacinthfold/placement/choice.py
+++ b/jacinthfold/placement/choice.py
@@ -10,6 +10,7 @@
 from jacinthfold.placement.answer_lag import AnswerLag
 from jacinthfold.placement.decision import Choice, Reject, RelayTo, SendTo
 from jacinthfold.placement.estimates import Estimate, Estimator
+from jacinthfold.placement.first_event_limit import first_event_limit_seconds
 from jacinthfold.placement.jitter import LoadJitter
 from jacinthfold.placement.late_placement import LatePlacement
 from jacinthfold.placement.least_waits import LeastWaits
@@ -435,11 +436,10 @@
             # A stream that breaks after its latency objective has passed is
             # still resumed until its deadline: it has been delivered in part.
             return request.deadline - now
-        elapsed = now - request.received_at
-        return (
-            request.route.latency_objective_seconds * limits.OBJECTIVE_SHARE
-            - elapsed
-        )
+        ends_at = request.received_at + first_event_limit_seconds(request)
+        if request.origin is not None:
+            ends_at = min(ends_at, request.deadline)
+        return ends_at - now
 
     def _best_remote(
         self, request: Request, tried_regions: Collection[str]
--- a/jacinthfold/placement/request_classes.py
+++ b/jacinthfold/placement/request_classes.py
@@ -1,6 +1,7 @@
 """Describe requests for the queue in which they wait."""
 
 from jacinthfold.placement import limits
+from jacinthfold.placement.first_event_limit import first_event_limit_seconds
 from jacinthfold.placement.targets import TargetTable
 from jacinthfold.placement.waiting_queue import (
     RequestClass,
@@ -53,9 +54,8 @@
 
     def entry(self, number: int, request: Request) -> WaitingRequest:
         """Return a request's entry, with its latest useful start."""
-        objective_seconds = request.route.latency_objective_seconds
         in_time_until = min(
-            request.received_at + objective_seconds * limits.OBJECTIVE_SHARE,
+            request.received_at + first_event_limit_seconds(request),
             request.deadline,
         )
         entry = WaitingRequest(
@@ -65,6 +65,7 @@
             _size_bytes(request),
         )
         if entry.request_class.size is Size.LARGE:
+            objective_seconds = request.route.latency_objective_seconds
             entry.overdue_at = (
                 request.received_at + objective_seconds * OVERDUE_SHARE
             )
--- a/jacinthfold/proxy/waiting.py
+++ b/jacinthfold/proxy/waiting.py
@@ -8,6 +8,7 @@
 from jacinthfold.clock import Clock
 from jacinthfold.placement import limits
 from jacinthfold.placement.decision import Choice, Reject
+from jacinthfold.placement.first_event_limit import first_event_limit_seconds
 from jacinthfold.placement.late_placement import MIN_RETRY_AFTER_SECONDS
 from jacinthfold.placement.placement_rates import (
     HOLD_SHARE,
@@ -281,8 +282,7 @@
     """Return how much shorter the wait at targets must become."""
     found = (rejection.local_estimate, rejection.remote_region)
     least = min((one.seconds for one in found if one), default=0.0)
-    objective_seconds = request.route.latency_objective_seconds
-    return max(0.0, least - objective_seconds * limits.OBJECTIVE_SHARE)
+    return max(0.0, least - first_event_limit_seconds(request))
 
 
 def _always(_request: Request) -> bool:
--- a/tests/gateway/test_taken_up_under_load.py
+++ b/tests/gateway/test_taken_up_under_load.py
@@ -1,10 +1,74 @@
 """Streams that callers take up again while targets are busy or hosts end."""
 
+import pytest
+
+from jacinthfold.placement.decision import Reject, SendTo
+from jacinthfold.placement.target import Load
+from jacinthfold.request.stream_origin import StreamOrigin
 from tests.gateway import target_standin as standin
 from tests.gateway import versioned_streams as streams
 from tests.gateway.deployment import Connection, new_id
+from tests.gateway.test_placement import Scene, prompt
 from tools.fleet import wait_until
 
+OBJECTIVE_SECONDS = 1.0
+# About 1.6 s of prefill before a prompt, in a scene's model of an engine.
+BUSY = Load(4, 110000, 110000)
+
+
+def taken_up(scene, tokens=6000, version='v1'):
+    """Return a prompt whose stream its caller takes up again."""
+    request = prompt(scene, 'subject', tokens=tokens)
+    request.route.latency_objective_seconds = OBJECTIVE_SECONDS
+    request.origin = StreamOrigin('first', version)
+    request.facts.last_event_id = '3'
+    request.facts.resumed_id = 'first'
+    return request
+
+
+def busy_scene(**fields):
+    """Return a scene whose only target of version v1 is busy."""
+    scene = Scene()
+    scene.add('i-1', software_version='v1', **fields).own = BUSY
+    return scene
+
+
+def test_stream_is_taken_up_at_a_target_that_is_too_busy_for_new_ones():
+    """Guards against the objective of new streams for one that has begun."""
+    scene = busy_scene()
+    new = prompt(scene, 'subject', tokens=6000)
+    new.route.latency_objective_seconds = OBJECTIVE_SECONDS
+    assert isinstance(scene.choose(new), Reject)
+    # The second time the bound of recent waits decides.
+    for _ in range(2):
+        choice = scene.choose(taken_up(scene))
+        assert isinstance(choice, SendTo), choice.reason
+        assert choice.estimate.seconds > OBJECTIVE_SECONDS
+
+
+def test_stream_is_taken_up_beside_an_idle_target_of_another_version():
+    """Guards against streams that are late where new ones find room."""
+    scene = busy_scene()
+    scene.add('i-2', software_version='v2')
+    choice = scene.choose(taken_up(scene))
+    assert isinstance(choice, SendTo), choice.reason
+    assert choice.estimate.target.record.instance == 'i-1'
+
+
+@pytest.mark.parametrize('seconds_left', [1.0, 15.0])
+def test_stream_that_its_caller_would_leave_first_is_rejected_at_once(
+    seconds_left,
+):
+    """Guards against work for callers who leave before its first event."""
+    scene = busy_scene()
+    request = taken_up(scene)
+    request.deadline = request.received_at + seconds_left
+    if seconds_left > 4 * OBJECTIVE_SECONDS:
+        scene.targets.find('i-1').own = Load(9, 330000, 330000)
+    choice = scene.choose(request)
+    assert isinstance(choice, Reject)
+    assert choice.reason == 'late'
+
 
 def slow_for_long_prompts(script):
     """Return a script that never answers long prompts."""
