Relay to another host of a region when a connection is refused

Cause: one host of a region is picked at random, and if it had just ended, its region counted as tried, though other hosts of it served. For 2 s after a host has ended, until it counts as silent, each relay may pick it.

Now up to three hosts are tried for one relay while no connection can be made, and a host at which that failed is left out until it is heard again. Class of fault: one member's failure counts for its group. Ruled out: a fixed time for which such a host is left out; it would leave out one that is back at once.

--- a/jacinthfold/proxy/attempts.py
+++ b/jacinthfold/proxy/attempts.py
@@ -22,6 +22,9 @@
 from jacinthfold.transport.dialect import Dialect
 from jacinthfold.transport.pool import ConnectionPool
 
+# Hosts of a region to which a connection is tried for one relay.
+MAX_HOSTS_TRIED = 3
+
 
 class Attempts:
     """Make single attempts and update the targets' statistics from them."""
@@ -65,17 +68,26 @@
         progress: Progress,
         region: RemoteRegion,
     ) -> Outcome:
-        """Relay a request to a host of another region."""
-        sending = self._regions.build(
-            request,
-            response,
-            progress,
-            region,
-            has_permit=progress.permit is not None,
+        """Relay a request to a host of another region that can be reached."""
+        outcome = Outcome(
+            Ending.NOT_RUN, 'no_host_in_region', is_rejected_locally=True
         )
-        if sending is None:
-            return Outcome(Ending.NOT_RUN, 'no_host_in_region')
-        return await self._sender.run(sending)
+        tried_count = 0
+        while tried_count < MAX_HOSTS_TRIED:
+            tried_count += 1
+            sending = self._regions.build(
+                request,
+                response,
+                progress,
+                region,
+                has_permit=progress.permit is not None,
+            )
+            if sending is None:
+                break
+            outcome = await self._sender.run(sending)
+            if not outcome.is_unreachable:
+                break
+        return outcome
 
     def prepare(
         self,
--- a/jacinthfold/proxy/outcome.py
+++ b/jacinthfold/proxy/outcome.py
@@ -8,6 +8,7 @@
 from jacinthfold.request.messages import ResponseHead, first_header
 from jacinthfold.request.numbers import excerpt, parse_decimal
 
+UNREACHABLE = 'unreachable'
 # A wrong value of a peer must not keep callers away for longer.
 MAX_PEER_RETRY_AFTER_SECONDS = 60.0
 
@@ -61,6 +62,16 @@
         # Rejected with a Retry-After by a target that is healthy.
         self.is_pushback = is_pushback
 
+    @property
+    def is_unreachable(self) -> bool:
+        """Tell whether no connection could be made."""
+        return self.reason.startswith(UNREACHABLE)
+
+    @property
+    def is_unsent(self) -> bool:
+        """Tell whether no byte of the request has left this host."""
+        return self.is_rejected_locally or self.is_unreachable
+
 
 def outcome_from_head(head: ResponseHead, *, is_peer: bool) -> Outcome | None:
     """Return the outcome if the response head alone determines it."""
--- a/jacinthfold/proxy/region_sends.py
+++ b/jacinthfold/proxy/region_sends.py
@@ -11,6 +11,7 @@
 from jacinthfold.proxy.attempt_hooks import AttemptHooks
 from jacinthfold.proxy.caller_response import CallerResponse
 from jacinthfold.proxy.delivery import Delivery
+from jacinthfold.proxy.outcome import Outcome
 from jacinthfold.proxy.progress import Progress
 from jacinthfold.proxy.response_timeout import ResponseTimeout
 from jacinthfold.proxy.sending import Sending
@@ -56,6 +57,8 @@
         self._hooks = hooks
         self._clock = clock
         self._random = random.Random()
+        # When a connection to a host has failed, by its name.
+        self._unreachable_at: dict[str, float] = {}
 
     def build(
         self,
@@ -82,7 +85,9 @@
             self._headers(request, progress, has_permit=has_permit),
             delivery,
         )
-        sending.on_outcome = partial(self._outcomes.count, request, delivery)
+        sending.on_outcome = partial(
+            self._record_outcome, request, delivery, host.name
+        )
         return sending
 
     def choose_host(
@@ -94,11 +99,33 @@
             host
             for host in self._hosts.serving(region.name)
             if host.name in names
+            and self._is_reachable(host.name)
             # Others would let the stream go on at any version.
             and (request.origin is None or host.keeps_origins)
         ]
         return self._random.choice(found) if found else None
 
+    def _record_outcome(
+        self,
+        request: Request,
+        delivery: Delivery,
+        host_name: str,
+        outcome: Outcome,
+    ) -> None:
+        self._outcomes.count(request, delivery, outcome)
+        if outcome.is_unreachable:
+            self._unreachable_at[host_name] = self._clock.monotonic()
+
+    def _is_reachable(self, host_name: str) -> bool:
+        """Tell whether a host was heard after no connection could be made."""
+        failed_at = self._unreachable_at.get(host_name)
+        if failed_at is None:
+            return True
+        if self._hosts.heard_at(host_name) <= failed_at:
+            return False
+        self._unreachable_at.pop(host_name)
+        return True
+
     def _delivery(
         self,
         request: Request,
--- a/jacinthfold/proxy/sender.py
+++ b/jacinthfold/proxy/sender.py
@@ -7,7 +7,12 @@
 from jacinthfold.catalogue.model import RetryPolicy
 from jacinthfold.proxy import request_log
 from jacinthfold.proxy.metrics import ProxyMetrics
-from jacinthfold.proxy.outcome import Ending, Outcome, outcome_from_head
+from jacinthfold.proxy.outcome import (
+    UNREACHABLE,
+    Ending,
+    Outcome,
+    outcome_from_head,
+)
 from jacinthfold.proxy.sending import Sending
 from jacinthfold.request.messages import ResponseHead
 from jacinthfold.transport.dialect import Dialect
@@ -66,7 +71,7 @@
                 request_id=request.facts.request_id,
             )
         except ConnectFailedError as error:
-            return Outcome(Ending.NOT_RUN, f'unreachable: {error}')
+            return Outcome(Ending.NOT_RUN, f'{UNREACHABLE}: {error}')
         sending.exchange = Exchange(channel, self._dialect)
         sending.delivery.channel = channel
         return await self._guard(sending, _send(sending, sending.exchange))
--- a/jacinthfold/proxy/target_outcomes.py
+++ b/jacinthfold/proxy/target_outcomes.py
@@ -121,12 +121,11 @@
             return
         if outcome.reason == 'wrong_instance':
             target.set_record_expiry(now)
-        is_unreachable = outcome.reason.startswith('unreachable')
         if delivery.is_given_up and not _is_failing(target, delivery):
             return
         target.record_failure(
             now,
-            is_unreachable=is_unreachable,
+            is_unreachable=outcome.is_unreachable,
             sent_at=began_at,
             is_cut=delivery.first_event_at > 0,
         )
--- a/tests/gateway/test_taken_up_under_load.py
+++ b/tests/gateway/test_taken_up_under_load.py
@@ -1,13 +1,24 @@
 """Streams that callers take up again while targets are busy or hosts end."""
 
+import asyncio
+
 import pytest
 
+from jacinthfold.catalogue.model import RetryPolicy
+from jacinthfold.placement.budget import RetryBudgets
 from jacinthfold.placement.decision import Reject, SendTo
 from jacinthfold.placement.target import Load
+from jacinthfold.proxy.outcome import Ending, Outcome
 from jacinthfold.request.stream_origin import StreamOrigin
 from tests.gateway import target_standin as standin
 from tests.gateway import versioned_streams as streams
 from tests.gateway.deployment import Connection, new_id
+from tests.gateway.test_permit_order import (
+    Answer,
+    Attempts,
+    SlowPermits,
+    forwarder,
+)
 from tests.gateway.test_placement import Scene, prompt
 from tools.fleet import wait_until
 
@@ -102,3 +113,51 @@
     busy.close()
     assert [one.status for one in answers] == [200] * len(begun)
     assert 'reason=late' in deployment.hosts['north-b'].log()
+
+
+def test_streams_are_relayed_to_the_hosts_of_a_region_that_are_left(
+    deployment,
+):
+    """Guards against one host that has ended counting for its region."""
+    streams.add_targets(deployment, 'v1-south-1')
+    hosts = ('north-a', 'north-1'), ('south-a', 'south-1')
+    streams.start(deployment, *hosts, ('south-b', 'south-1'))
+    streams.set_scripts(deployment, pause_seconds=0.03)
+    deployment.wait_log('north-a', 'peer=south-b')
+    begun = [streams.TakenUp(deployment, 'north-a') for _ in range(8)]
+    deployment.hosts['south-a'].kill()
+    answers = [one.go_on('north-a') for one in begun]
+    assert [one.status for one in answers] == [200] * len(begun)
+
+
+class RefusedAttempts(Attempts):
+    """Refuse the connections of the first sends, then break off."""
+
+    def __init__(self, refused_count):
+        super().__init__()
+        self.refused_count = refused_count
+
+    async def send_to_target(self, request, response, progress, estimate):
+        self.sent.append(request)
+        if len(self.sent) <= self.refused_count:
+            return Outcome(Ending.NOT_RUN, 'unreachable: refused')
+        return Outcome(Ending.UNKNOWN, 'cut')
+
+
+@pytest.mark.parametrize('refused_count', [0, 1, 2])
+def test_refused_connection_spends_no_retry(monkeypatch, refused_count):
+    """Guards against a budget that is spent before anything arrived.
+
+    When hosts or targets end, connections to them are refused by the dozen.
+    """
+    scene = Scene()
+    for number in range(5):
+        scene.add(f'i-{number}')
+    attempts = RefusedAttempts(refused_count)
+    records, made = forwarder(scene, SlowPermits(), attempts)
+    monkeypatch.setattr(made._admission.gate, 'rejection', lambda _: None)
+    made._budgets = RetryBudgets(0.0, 0.0, 10.0, scene.clock)
+    request = scene.request(retry_policy=RetryPolicy.WHOLE, max_attempts=4)
+    request.organisation = records.routes.organisations.find_by_name('north')
+    asyncio.run(made.serve(request, Answer()))
+    assert len(attempts.sent) == refused_count + 1
