Spend no retry on a request of which nothing has left the host

Of the streams that were refused after a refused connection, most have not_retried=budget: a host that had just lost others spent its share of the retry budget on connections that were refused, and then turned requests away that other targets or regions would have served.

The budget bounds what targets get beyond the first send of a request. A connection that can't be made, or a send that this host rejects before its first byte, reaches nobody, so that the next send is no retry. At most three such sends follow each other, as before.

--- a/jacinthfold/proxy/forwarding.py
+++ b/jacinthfold/proxy/forwarding.py
@@ -205,6 +205,9 @@
             return True
         if progress.not_run_count >= MAX_NOT_RUN_SENDS:
             return False
+        # The budget bounds what targets get beyond the first send.
+        if not progress.next_attempt.is_retry:
+            return True
         return self._budgets.try_spend(request.service_name)
 
     def _log_outcome(
--- a/jacinthfold/proxy/progress.py
+++ b/jacinthfold/proxy/progress.py
@@ -56,13 +56,15 @@
 class NextAttempt:
     """Hold what is known of the attempt after the current one."""
 
-    __slots__ = ('is_preparing', 'missing_reason', 'prepared')
+    __slots__ = ('is_preparing', 'is_retry', 'missing_reason', 'prepared')
 
     def __init__(self) -> None:
         """Start without one."""
         # What takes the place of a silent attempt.
         self.prepared: 'PreparedAttempt | None' = None
         self.is_preparing = False
+        # Whether something of the request has left this host before.
+        self.is_retry = False
         # Why none followed the last one, '' if it was served or one did.
         self.missing_reason = ''
 
@@ -155,7 +157,7 @@
     def record_attempt(self, choice: Choice, outcome: Outcome) -> None:
         """Record how an attempt ended."""
         self.is_in_flight = False
-        self._record_destination(choice)
+        self._record_destination(choice, outcome)
         self.reason = outcome.reason
         self.ending = outcome.ending
         if outcome.after_seconds is not None:
@@ -170,7 +172,7 @@
 
     def record_prepared_end(self, choice: Choice, outcome: Outcome) -> None:
         """Record how an attempt ended while the one before it goes on."""
-        self._record_destination(choice)
+        self._record_destination(choice, outcome)
         if outcome.ending is Ending.NOT_RUN:
             self.not_run_count += 1
         else:
@@ -182,8 +184,10 @@
         self.next_attempt.prepared = None
         return prepared
 
-    def _record_destination(self, choice: Choice) -> None:
+    def _record_destination(self, choice: Choice, outcome: Outcome) -> None:
         self.sends += 1
+        if not outcome.is_unsent:
+            self.next_attempt.is_retry = True
         if isinstance(choice, SendTo):
             self.last_destination = choice.estimate.target.record.instance
             self.tried.add(self.last_destination)
