Bound the values of records and messages where they are decoded

A host's record with ports out of range made the event loop close the datagram socket of every host that read it, at the first heartbeat to that endpoint; all that hosts tell each other went with it. A crash's record with a number of 40 digits made each digest of a collector raise, on every round.

Cause: records were checked for kinds, not for ranges, and the values failed later, in duties that use them. Now ports, numbers, names, addresses, weights and versions have types with bounds, which the decoder checks: records of hosts, crashes, issuers, versions and origins, and the messages with the same parts. A target's version with characters that aren't printable gets a name that messages carry. The record is left out with one line, as before.

--- a/jacinthfold/catalogue/host_codec.py
+++ b/jacinthfold/catalogue/host_codec.py
@@ -2,6 +2,12 @@
 
 import msgspec
 
+from jacinthfold.catalogue.bounded_types import (
+    Name,
+    Number,
+    Port,
+    check_address,
+)
 from jacinthfold.catalogue.model import HostRecord
 from jacinthfold.catalogue.record import UnreadableRecordError
 
@@ -9,12 +15,12 @@
 class HostDocument(msgspec.Struct):
     """Hold the serialized form of a host's record."""
 
-    name: str
-    incarnation: int
-    region: str
-    data_centre: str
+    name: Name
+    incarnation: Number
+    region: Name
+    data_centre: Name
     address: str
-    ports: tuple[int, int, int]
+    ports: tuple[Port, Port, Port]
     # Hosts of the previous version omit it.
     keeps_origins: bool = False
 
@@ -49,12 +55,12 @@
 
 
 def host_from_document(document: HostDocument) -> HostRecord:
-    """Return the host of a decoded document."""
+    """Return the host of a decoded document; raise ValueError."""
     record = HostRecord(
         document.name,
         document.incarnation,
         (document.region, document.data_centre),
-        document.address,
+        check_address(document.address),
         document.ports,
     )
     record.keeps_origins = document.keeps_origins
--- a/jacinthfold/catalogue/version_record.py
+++ b/jacinthfold/catalogue/version_record.py
@@ -4,14 +4,15 @@
 
 import msgspec
 
+from jacinthfold.catalogue.bounded_types import Name, Versions
 from jacinthfold.catalogue.record import UnreadableRecordError
 
 
 class VersionRecord(msgspec.Struct):
     """Hold the versions that streams of a service may have begun at."""
 
-    service: str
-    versions: tuple[str, ...]
+    service: Name
+    versions: Versions
 
 
 _decoder = msgspec.json.Decoder(VersionRecord)
--- a/jacinthfold/fleet/digest_message.py
+++ b/jacinthfold/fleet/digest_message.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from jacinthfold.catalogue.bounded_types import Name, Number
 from jacinthfold.catalogue.host_codec import HostDocument
 from jacinthfold.catalogue.revision import make_revision
 from jacinthfold.fleet.heartbeat_message import (
@@ -20,9 +21,10 @@
 class HostSummary(msgspec.Struct, array_like=True):
     """Hold the last heartbeat of one host, as its collector received it."""
 
-    name: str
-    incarnation: int
-    age_ms: int
+    name: Name
+    incarnation: Number
+    # A host that isn't heard must not count as heard in the future.
+    age_ms: Number
     state: HostState
     revision: int
     reaches_store: bool
--- a/jacinthfold/platform/target_records.py
+++ b/jacinthfold/platform/target_records.py
@@ -74,10 +74,11 @@
 
 def _bounded_version(version: str) -> str:
     # Hosts send versions to each other and log them.
-    if len(version) <= MAX_VERSION_CHARACTERS:
+    if len(version) <= MAX_VERSION_CHARACTERS and version.isprintable():
         return version
     digest = hashlib.blake2b(version.encode(), digest_size=8).hexdigest()
-    return f'{version[:MAX_VERSION_CHARACTERS]}~{digest}'
+    start = version[:MAX_VERSION_CHARACTERS]
+    return f'{"".join(filter(str.isprintable, start))}~{digest}'
 
 
 def _parse_endpoint(address: str) -> tuple[str, int]:
--- a/jacinthfold/quarantine/crashes.py
+++ b/jacinthfold/quarantine/crashes.py
@@ -1,10 +1,15 @@
 """Crashes of targets, grouped by the requests that were present."""
 
+from typing import Annotated
+
 import msgspec
 
+from jacinthfold.catalogue.bounded_types import Identifier, Number
+
 # Weight of a crash during which the request was running, and of one during
 # which it may still have been queued: a refusal takes twice as many of these.
 RUNNING_WEIGHT, QUEUED_WEIGHT = 2, 1
+Weight = Annotated[int, msgspec.Meta(ge=QUEUED_WEIGHT, le=RUNNING_WEIGHT)]
 # Entries without a new crash are dropped after this. Served requests and those
 # with one crash, nearly all of which were only bystanders, are dropped sooner:
 # while any entry exists, every request is hashed (about 30 us for 30 kB).
@@ -16,20 +21,20 @@
 class Crash(msgspec.Struct, array_like=True, frozen=True):
     """Crash of one incarnation of a target while a request was present."""
 
-    incarnation_id: str
-    weight: int
+    incarnation_id: Identifier
+    weight: Weight
     # Whether the request was running and had no output yet.
     had_no_output: bool
     # Unix time in milliseconds, by the clock of the host that observed it.
-    at_ms: int
+    at_ms: Number
 
 
 class SuspectReport(msgspec.Struct, array_like=True):
     """Report on a suspect request, exchanged between hosts."""
 
-    fingerprint: str
+    fingerprint: Identifier
     # When a target last completed it, 0 for never.
-    served_at_ms: int
+    served_at_ms: Number
     crashes: list[Crash]
 
 
--- a/jacinthfold/quarantine/store_writer.py
+++ b/jacinthfold/quarantine/store_writer.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from jacinthfold import logs
+from jacinthfold.catalogue.bounded_types import Number
 from jacinthfold.catalogue.metadata import (
     Lease,
     LeaseLostError,
@@ -38,7 +39,7 @@
 MAX_WAITING_RECORDS = 512
 
 _crash_decoder = msgspec.json.Decoder(Crash)
-_served_decoder = msgspec.json.Decoder(int)
+_served_decoder = msgspec.json.Decoder(Number)
 
 
 class StoreWriter:
--- a/jacinthfold/quota/issuers.py
+++ b/jacinthfold/quota/issuers.py
@@ -17,6 +17,7 @@
 import xxhash
 
 from jacinthfold import logs
+from jacinthfold.catalogue.bounded_types import Name, Number
 from jacinthfold.catalogue.metadata import (
     Lease,
     LeaseLostError,
@@ -58,12 +59,12 @@
 class IssuerDocument(msgspec.Struct):
     """Record of a shard's issuer as stored in the metadata store."""
 
-    host: str
+    host: Name
     # The host's incarnation.
-    life: int
+    life: Number
     # The store lease to which the record is bound, and the era that granted it.
-    lease: int
-    era: int = 0
+    lease: Number
+    era: Number = 0
 
 
 class _Shard:
--- a/jacinthfold/streams/messages.py
+++ b/jacinthfold/streams/messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from jacinthfold.catalogue.bounded_types import Name, Version
 from jacinthfold.hashing import hash_key_bits
 
 ORIGIN_MARK = b'\x04'
@@ -10,8 +11,8 @@
 class OriginNotice(msgspec.Struct, array_like=True):
     """Notice that attempts began streams at a version of a service."""
 
-    service: str
-    version: str
+    service: Name
+    version: Version
     attempts: list[int]
 
 
@@ -19,7 +20,7 @@
     """Question at which version an attempt began a stream."""
 
     number: int
-    service: str
+    service: Name
     attempt: int
 
 
@@ -27,7 +28,7 @@
     """Answer to a query; no version if it isn't known."""
 
     number: int
-    version: str | None
+    version: Version | None
     # Whether the version is only the one that the host knows of. Hosts that
     # don't say so may have inferred it.
     is_inferred: bool = True
