Open the socket between hosts again when it has closed

The event loop closes a datagram socket for good at any error that isn't the operating system's, and doesn't tell the sender: a host then neither told nor heard anything until it was restarted, and its duty failed on every round, three lines a second.

The socket is now a module of its own. It is looked at four times a second and opened again; endpoints that can't be sent to are dropped and counted before they reach the event loop, so that one host's endpoint never keeps others from being sent to. Gauges show whether it is open, how often it was opened and how many hosts are heard; peer_socket_closed and peer_socket_opened are logged once each.

It doesn't count towards readiness: a cause that reaches all hosts would take all out of service, while each of them still serves callers and follows the store.

--- a/jacinthfold/fleet/heartbeats.py
+++ b/jacinthfold/fleet/heartbeats.py
@@ -7,7 +7,7 @@
 import asyncio
 import random
 from collections.abc import Callable
-from typing import Any, cast
+from typing import Any
 
 from jacinthfold import logs
 from jacinthfold.catalogue.host_codec import host_from_document
@@ -15,6 +15,7 @@
 from jacinthfold.clock import Clock
 from jacinthfold.fleet.aggregation import HeartbeatAggregator
 from jacinthfold.fleet.collectors import Collectors
+from jacinthfold.fleet.datagram_socket import MAX_DATAGRAM_BYTES, DatagramSocket
 from jacinthfold.fleet.digest_exchange import DigestExchange, Endpoint
 from jacinthfold.fleet.digests import DigestView
 from jacinthfold.fleet.freshness_exchange import FreshnessExchange
@@ -51,12 +52,9 @@
 FULL_INTERVAL_HEARTBEATS = 5
 # Whether a region has collectors changes only when many hosts come or go.
 COLLECTOR_CHECK_INTERVAL_HEARTBEATS = 3
-MAX_DATAGRAM_BYTES = 60000
-# Every datagram to a dead host fails; the log gets one line in this time.
-SEND_ERROR_LOG_INTERVAL_SECONDS = 5.0
 
 
-class Heartbeats(asyncio.DatagramProtocol):
+class Heartbeats:
     """Send and receive heartbeats and digests on one socket."""
 
     def __init__(
@@ -99,13 +97,15 @@
                 is_near=False, is_full=is_full
             )
         )
-        self._transport: asyncio.DatagramTransport | None = None
+        own = hosts.own
+        self.socket = DatagramSocket(
+            (own.address, own.relay_port),
+            lambda content, addr: self.datagram_received(content, addr),
+            clock,
+        )
         self._count = 0
         self._is_collected = False
-        self._send_error_count = 0
-        self._send_error_logged_at = float('-inf')
-        # Datagrams that were too large, and heartbeats without some fields.
-        self.dropped_count = 0
+        # Heartbeats without some fields.
         self.reduced_count = 0
         self._random = random.Random()
         self.seeds: tuple[Endpoint, ...] = ()
@@ -116,10 +116,7 @@
 
     async def start(self) -> None:
         """Bind the socket; raise OSError if the port is in use."""
-        own = self._hosts.own
-        await asyncio.get_running_loop().create_datagram_endpoint(
-            lambda: self, local_addr=(own.address, own.relay_port)
-        )
+        await self.socket.open()
 
     async def run(self) -> None:
         """Send heartbeats until cancelled."""
@@ -149,12 +146,6 @@
         """Send the current state to all hosts at once."""
         self._send_to(self._hosts.others(), self._encoded_heartbeat())
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Store the transport of the bound socket."""
-        # The selector loop's transport implements DatagramTransport but does
-        # not inherit from it.
-        self._transport = cast(asyncio.DatagramTransport, transport)
-
     def datagram_received(self, content: bytes, addr: Any) -> None:
         """Dispatch a heartbeat, digests or another datagram."""
         try:
@@ -167,39 +158,17 @@
         except ValueError as error:
             logs.warning('heartbeat_unreadable', peer=addr, reason=repr(error))
 
-    def error_received(self, exc: Exception) -> None:
-        """Log that a datagram could not be delivered, at a limited rate.
-
-        The host table notices dead hosts by itself, from their silence.
-        """
-        self._log_not_sent(repr(exc))
-
     def send(self, content: bytes, endpoint: Endpoint) -> None:
         """Send a datagram to another host."""
-        if self._transport is None:
-            return
-        if len(content) >= MAX_DATAGRAM_BYTES:
-            self.dropped_count += 1
-            self._log_not_sent(f'datagram of {len(content)} bytes')
-            return
-        self._transport.sendto(content, endpoint)
-
-    def _log_not_sent(self, reason: str) -> None:
-        self._send_error_count += 1
-        now = self._clock.monotonic()
-        if now - self._send_error_logged_at < SEND_ERROR_LOG_INTERVAL_SECONDS:
-            return
-        logs.warning(
-            'heartbeats_not_sent', count=self._send_error_count, reason=reason
-        )
-        self._send_error_logged_at = now
-        self._send_error_count = 0
+        self.socket.send(content, endpoint)
 
     def _encode(self, heartbeat: Heartbeat) -> bytes:
         content, left_out = encode_bounded(heartbeat, MAX_DATAGRAM_BYTES)
         if left_out:
             self.reduced_count += 1
-            self._log_not_sent(f'left out of a heartbeat: {",".join(left_out)}')
+            self.socket.log_not_sent(
+                f'left out of a heartbeat: {",".join(left_out)}'
+            )
         return content
 
     def _interval_seconds(self) -> float:
--- a/jacinthfold/gateway/node.py
+++ b/jacinthfold/gateway/node.py
@@ -12,7 +12,12 @@
 from jacinthfold.config import SettingsError
 from jacinthfold.fleet.directory import Directory
 from jacinthfold.fleet.table import HostState
-from jacinthfold.gateway import handlers, memory_bounds, request_handlers
+from jacinthfold.gateway import (
+    fleet_metrics,
+    handlers,
+    memory_bounds,
+    request_handlers,
+)
 from jacinthfold.gateway import settings as gateway_settings
 from jacinthfold.gateway.adapter import Adapter
 from jacinthfold.gateway.cluster_view import ClusterView
@@ -75,6 +80,9 @@
         self.metrics.in_flight.set_function(self._in_flight_count)
         self.metrics.store.follow(self._view.catalogue)
         self.metrics.dropped_log_lines.set_function(logs.dropped_line_count)
+        fleet_metrics.register(
+            self.metrics.registry, self._view.heartbeats, self._view.hosts
+        )
         self._view.targets.on_failure_event = lambda service, event: (
             self.metrics.target_failure_events.labels(service, event).inc()
         )
@@ -195,6 +203,7 @@
             view.organisations.quota.pools.run,
             view.registration.run,
             view.heartbeats.run,
+            view.heartbeats.socket.keep_open,
             view.snapshots.run,
             view.pool.run,
             view.run_housekeeping,
--- a/tests/gateway/test_watchers.py
+++ b/tests/gateway/test_watchers.py
@@ -109,6 +109,9 @@
     def __init__(self):
         self.endpoints = []
 
+    def is_closing(self):
+        return False
+
     def sendto(self, _content, endpoint):
         self.endpoints.append(endpoint)
 
@@ -129,7 +132,7 @@
         clock,
     )
     transport = RecordingTransport()
-    heartbeats.connection_made(transport)
+    heartbeats.socket.connection_made(transport)
     for _ in range(3):
         heartbeats.send_heartbeats()
     assert len(transport.endpoints) == REMOTE_FANOUT
