Stay in touch with a host whose record was overwritten

Another writer's record in the place of a host's own, with another address or ports, an older or a later incarnation: its neighbours sent to nowhere, ignored its heartbeats as those of an earlier start, or dropped it, until it restarted.

A host now writes its record again, under its lease, when the store's differs and isn't of a later start, once it has seen its own there. Its neighbours take the endpoint that its heartbeats name, and a later incarnation that nobody but the store tells of gives way to the host's own heartbeat. A later start that is heard stands, as before, so that an old process can't take its place back.

--- a/jacinthfold/catalogue/follower.py
+++ b/jacinthfold/catalogue/follower.py
@@ -185,8 +185,26 @@
         self._own = own
         self._lease: Lease | None = None
         self._has_left = False
+        # Whether the store's record was this host's when it was last seen.
+        self._is_confirmed = False
+        self._is_overwritten = False
         self.is_reached = True
 
+    def observe(self, record: HostRecord | None) -> None:
+        """Compare the store's record of this host, None if there is none.
+
+        A record of a later start is of whoever took the host's place.
+        """
+        if record is not None and encode_host(record) == encode_host(self._own):
+            self._is_confirmed = True
+            self._is_overwritten = False
+            return
+        is_later = (
+            record is not None and record.incarnation > self._own.incarnation
+        )
+        if self._is_confirmed and not is_later:
+            self._is_overwritten = True
+
     async def run(self) -> None:
         """Stay registered until the host leaves or this is cancelled."""
         while not self._has_left:
@@ -219,12 +237,19 @@
     async def _step(self) -> None:
         if self._lease:
             await self._store.renew_lease(self._lease)
+            if self._is_overwritten:
+                logs.warning('registration_overwritten')
+                await self._write(self._lease)
             return
         lease = await self._store.grant_lease(LEASE_TTL_SECONDS)
+        await self._write(lease)
+        self._lease = lease
+
+    async def _write(self, lease: Lease) -> None:
+        self._is_overwritten = False
         await self._store.write_host(
             self._own.name, encode_host(self._own), lease
         )
-        self._lease = lease
 
 
 def _never() -> bool:
--- a/jacinthfold/catalogue/model.py
+++ b/jacinthfold/catalogue/model.py
@@ -270,6 +270,13 @@
         # the previous version don't.
         self.keeps_origins = False
 
+    def has_endpoint_of(self, other: 'HostRecord') -> bool:
+        """Tell whether both have the same address and relay port."""
+        return (self.address, self.relay_port) == (
+            other.address,
+            other.relay_port,
+        )
+
 
 def _longest_first(route: Route) -> int:
     return -len(route.prefix)
--- a/jacinthfold/fleet/table.py
+++ b/jacinthfold/fleet/table.py
@@ -56,13 +56,24 @@
 class HostEntry:
     """Hold a host and its last reported status."""
 
-    __slots__ = ('heard_at', 'is_registered', 'record', 'status')
+    __slots__ = (
+        'earlier_record',
+        'heard_at',
+        'heard_incarnation',
+        'is_registered',
+        'record',
+        'status',
+    )
 
     def __init__(self, record: HostRecord) -> None:
         """Initialize the entry of a host not heard from yet."""
         self.record = record
         self.status = HostStatus(HostState.STARTING)
         self.heard_at = float('-inf')
+        # Of the last heartbeat, 0 before the first one.
+        self.heard_incarnation = 0
+        # What the record replaced; None if there was none.
+        self.earlier_record: HostRecord | None = None
         self.is_registered = False
 
     @property
@@ -75,6 +86,27 @@
         """Return whether the host accepts compressed heartbeats."""
         return self.status.supports_compression
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Return whether the host itself has told of this incarnation."""
+        return self.heard_incarnation >= self.record.incarnation
+
+    def replace(self, record: HostRecord) -> None:
+        """Take the record of another incarnation."""
+        self.earlier_record = self.record
+        self.record = record
+        self.status = HostStatus(HostState.STARTING)
+
+    def restore(self, incarnation: int) -> bool:
+        """Take an earlier record back that nobody but the host overrules."""
+        earlier = self.earlier_record
+        if earlier is None or earlier.incarnation != incarnation:
+            return False
+        if self.is_confirmed:
+            return False
+        self.replace(earlier)
+        return True
+
 
 class HostTable:
     """Hold the other entry hosts by name."""
@@ -113,7 +145,14 @@
             return
         entry = self._upsert(record)
         if entry.record.incarnation > record.incarnation:
-            return
+            # The store may hold what another writer put in the place of the
+            # host's record.
+            if entry.is_confirmed:
+                return
+            entry.replace(record)
+        elif not entry.record.has_endpoint_of(record):
+            entry.record = record
+        entry.heard_incarnation = record.incarnation
         status = HostStatus(
             state,
             revision,
@@ -137,8 +176,12 @@
     ) -> None:
         """Record a status that another host received at a time."""
         entry = self._entries.get(name)
-        if entry is None or entry.record.incarnation != incarnation:
+        if entry is None:
             return
+        is_known = entry.record.incarnation == incarnation
+        if not is_known and not entry.restore(incarnation):
+            return
+        entry.heard_incarnation = incarnation
         now = self._clock.monotonic()
         if heard_at <= entry.heard_at or now - heard_at >= HOST_TIMEOUT_SECONDS:
             return
@@ -172,6 +215,10 @@
             found.append(self.own)
         return found
 
+    def live_count(self) -> int:
+        """Return how many other hosts are live."""
+        return sum(self._is_live(entry) for entry in self._entries.values())
+
     def regions(self) -> set[str]:
         """Return the regions of all known hosts."""
         return {
@@ -268,8 +315,7 @@
             entry = HostEntry(record)
             self._entries[record.name] = entry
         if record.incarnation > entry.record.incarnation:
-            entry.record = record
-            entry.status = HostStatus(HostState.STARTING)
+            entry.replace(record)
         return entry
 
     def _expire(self, now: float) -> None:
--- a/jacinthfold/gateway/cluster_view.py
+++ b/jacinthfold/gateway/cluster_view.py
@@ -180,6 +180,8 @@
 
     def on_host(self, record: HostRecord | None, name: str) -> None:
         """Register an entry host, or remove it if its record was deleted."""
+        if name == self.own.name:
+            self.registration.observe(record)
         self.hosts.register(record, name)
 
     def on_quarantine(self, name: str, content: bytes | None) -> None:
@@ -231,7 +233,8 @@
             'store_reached': self.follower.is_reached,
             'version': table.version if table else None,
             'evacuated': sorted(self.catalogue.evacuated),
-            'datagrams_dropped': self.heartbeats.dropped_count,
+            'datagrams_dropped': self.heartbeats.socket.dropped_count,
+            'peer_socket_open': self.heartbeats.socket.is_open,
             'heartbeats_reduced': self.heartbeats.reduced_count,
             **self.organisations.dump_state(),
             'hosts': [
