Soak and fuzz odd records; ablations of the new safeguards

soak_odd_records puts odd hosts, odd records of each kind and records in the place of hosts' own into the store, under load, beside kills, freezes and cuts; in the end, with the odd hosts still there, every host serves, hears all others and has the configuration.

Property tests: whatever is read of a host, a crash, versions or origins can be sent to and passed on in each format.

The test of the wait for a proof passed without it, since streams that are taken up now have longer: its target is busy now, so that the wait counts again.

--- a/tests/gateway/test_odd_records.py
+++ b/tests/gateway/test_odd_records.py
@@ -7,8 +7,16 @@
 
 import msgspec
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
-from jacinthfold.catalogue.host_codec import decode_host, host_from_document
+from jacinthfold.catalogue import version_record
+from jacinthfold.catalogue.bounded_types import is_endpoint
+from jacinthfold.catalogue.host_codec import (
+    decode_host,
+    document_from_host,
+    host_from_document,
+)
 from jacinthfold.catalogue.record import UnreadableRecordError
 from jacinthfold.clock import SystemClock
 from jacinthfold.fleet import heartbeat_message
@@ -16,6 +24,7 @@
 from jacinthfold.fleet.digest_message import Digest, encode_digests
 from jacinthfold.quarantine.crashes import SuspectReport
 from jacinthfold.quarantine.store_writer import read_record
+from jacinthfold.streams import origin_record
 from tests.gateway.deployment import (
     LOOPBACK,
     call,
@@ -105,6 +114,60 @@
         assert isinstance(report, SuspectReport)
 
 
+ANY_VALUE = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.sampled_from([10**39, 2**63, 2**64, 65535, 65536])
+    | st.floats(allow_nan=False, allow_infinity=False)
+    | st.text(),
+    lambda children: st.lists(children, max_size=3),
+    max_leaves=5,
+)
+HOST_VALUES = st.fixed_dictionaries(
+    {},
+    optional={
+        name: ANY_VALUE | st.just(content) for name, content in SOUND.items()
+    }
+    | {'ports': st.lists(st.integers(-1, 70000), min_size=3, max_size=3)},
+)
+
+
+@settings(max_examples=300, deadline=None)
+@given(HOST_VALUES)
+def test_any_host_that_is_read_can_be_sent_to_and_passed_on(fields):
+    """Guards against a value that decodes and fails later."""
+    try:
+        record = decode_host(host_content(fields))
+    except UnreadableRecordError:
+        return
+    assert is_endpoint(record.address, record.relay_port)
+    document = document_from_host(record)
+    assert msgspec.msgpack.encode(document)
+    assert decode_host(msgspec.json.encode(document)).name == record.name
+
+
+@settings(max_examples=300, deadline=None)
+@given(st.lists(ANY_VALUE, max_size=5), ANY_VALUE)
+def test_any_other_record_that_is_read_can_be_passed_on(values, value):
+    """Guards against a value of a crash, version or stream that fails later."""
+    for decode, document in (
+        (lambda content: read_record('a/i', content), values),
+        (lambda content: read_record('a', content), value),
+        (version_record.decode, {'service': value, 'versions': values}),
+    ):
+        try:
+            found = decode(json.dumps(document).encode())
+        except UnreadableRecordError:
+            continue
+        assert msgspec.msgpack.encode(found)
+    try:
+        notices = origin_record.decode(msgspec.msgpack.encode([values]))
+    except (ValueError, OverflowError):
+        return
+    assert origin_record.encode(notices)
+
+
 def stored(deployment, key):
     """Return the document that the store holds under a key."""
     item = deployment.store.items.get(key)
--- a/tests/gateway/test_soak.py
+++ b/tests/gateway/test_soak.py
@@ -4,6 +4,7 @@
 
 from tests.gateway.soak import run_seed
 from tests.gateway.soak_endings import EndingsSoak
+from tests.gateway.soak_odd_records import OddRecordsSoak
 from tests.gateway.soak_organisations import OrganisationsSoak
 from tests.gateway.soak_promises import PromisesSoak
 from tests.gateway.soak_pushback import PushbackSoak
@@ -130,3 +131,16 @@
     assert problems == []
     assert faults['taken_up']
     assert seen
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+def test_hosts_stay_in_touch_beside_odd_records(seed):
+    """Another writer puts records with odd values, also over hosts' own.
+
+    Hosts are killed, frozen and cut off meanwhile. None ends, no duty fails,
+    and in the end each hears all others and has the configuration.
+    """
+    problems, faults, seen = run_seed(seed, SECONDS, OddRecordsSoak)
+    assert problems == []
+    assert faults['odd_host'] + faults['odd_record'] + faults['overwritten']
+    assert seen
--- a/tests/gateway/test_stream_origin.py
+++ b/tests/gateway/test_stream_origin.py
@@ -16,6 +16,7 @@
     MIN_RETENTION_SECONDS,
     SoftwareVersions,
 )
+from jacinthfold.placement.target import Load
 from jacinthfold.platform.dialect import PlatformDialect
 from jacinthfold.platform.target_records import read_target
 from jacinthfold.proxy import relay_header
@@ -456,7 +457,7 @@
 def test_wait_for_a_proof_makes_no_stream_late():
     """Guards against streams that are refused since their host asked."""
     scene = Scene()
-    scene.add('i-1', software_version='v1')
+    target = scene.add('i-1', software_version='v1')
     alone = origins_of(scene, host('a'), [])
 
     async def prove_late(_as_of):
@@ -465,6 +466,8 @@
         return True
 
     alone.prove_current = prove_late
+    # With the wait, its first event would come after its caller has left.
+    target.own = Load(4, 90000, 90000)
     request = taken_up(scene)
     asyncio.run(alone.resolve(request))
     assert request.origin.software_version == 'v1'
--- a/tools/ablations/fleet.py
+++ b/tools/ablations/fleet.py
@@ -5,6 +5,7 @@
 GATEWAY = 'tests/gateway/'
 COLLECTORS = 'tests/gateway/test_collectors.py'
 CHOICE = 'tests/gateway/test_choice.py'
+ODD = 'tests/gateway/test_odd_records.py'
 
 LARGE_FLEETS = [
     Ablation(
@@ -119,4 +120,64 @@
         ],
         CHOICE,
     ),
+    Ablation(
+        'records: ports are bounded where they are read',
+        [
+            (
+                'catalogue/host_codec.py',
+                '    ports: tuple[Port, Port, Port]',
+                '    ports: tuple[int, int, int]',
+            ),
+        ],
+        f'{ODD}::test_host_with_a_value_out_of_range_is_unreadable',
+    ),
+    Ablation(
+        'records: numbers of crashes are bounded where they are read',
+        [('quarantine/crashes.py', '    at_ms: Number', '    at_ms: int')],
+        f'{ODD}::test_any_crash_that_is_read_can_be_passed_on',
+    ),
+    Ablation(
+        'socket: a closed one is opened again',
+        [
+            (
+                'fleet/datagram_socket.py',
+                '            if not self.is_open:',
+                '            if not self._endpoint:',
+            ),
+        ],
+        f'{ODD}::test_closed_socket_is_opened_again',
+    ),
+    Ablation(
+        'socket: endpoints that close it are left out',
+        [
+            (
+                'fleet/datagram_socket.py',
+                '        elif is_endpoint(*endpoint):',
+                '        elif endpoint:',
+            ),
+        ],
+        f'{ODD}::test_closed_socket_is_opened_again',
+    ),
+    Ablation(
+        'records: a host writes its overwritten record again',
+        [
+            (
+                'catalogue/follower.py',
+                '            if self._is_overwritten:',
+                '            if self._has_left:',
+            ),
+        ],
+        f'{ODD}::test_host_whose_record_was_overwritten_stays_in_touch',
+    ),
+    Ablation(
+        'records: a host that is heard overrules what the store says of it',
+        [
+            (
+                'fleet/table.py',
+                '            if entry.is_confirmed:\n                return\n            entry.replace',
+                '            if entry:\n                return\n            entry.replace',
+            ),
+        ],
+        f'{ODD}::test_host_whose_record_was_overwritten_stays_in_touch',
+    ),
 ]
--- a/tools/ablations/streams.py
+++ b/tools/ablations/streams.py
@@ -5,6 +5,7 @@
 MIXED = 'tests/gateway/test_mixed_versions.py'
 ORIGIN = 'tests/gateway/test_stream_origin.py'
 TAKEN_UP = 'tests/gateway/test_streams_taken_up.py'
+UNDER_LOAD = 'tests/gateway/test_taken_up_under_load.py'
 
 STREAMS = [
     Ablation(
@@ -133,7 +134,7 @@
         [
             (
                 'streams/origins.py',
-                '        request.origin = StreamOrigin(attempt_id, version)',
+                '        request.origin = StreamOrigin(attempt_id, finding.version)',
                 '        request.origin = None',
             ),
         ],
@@ -236,7 +237,7 @@
                 '        as_of = self._clock.boottime()\n'
                 '        only = self._versions.only(service)\n'
                 '        if only and await self.prove_current(as_of):\n'
-                "            return only, 'only'",
+                "            return _Finding(only, 'only')",
             ),
         ],
         f'{ORIGIN}::test_version_that_the_proof_brings_counts',
@@ -246,10 +247,54 @@
         [
             (
                 'streams/origins.py',
-                '        request.received_at += self._clock.monotonic() - asked_at',
-                '        del asked_at',
+                '        request.received_at += found_at - asked_at',
+                '',
             ),
         ],
         f'{ORIGIN}::test_wait_for_a_proof_makes_no_stream_late',
     ),
+    Ablation(
+        'streams: one that is taken up is of use past its objective',
+        [
+            (
+                'placement/first_event_limit.py',
+                '    if request.origin is None:',
+                '    if True:',
+            ),
+        ],
+        f'{UNDER_LOAD}::test_stream_is_taken_up_at_a_target_that_is_too_busy_for_new_ones',
+    ),
+    Ablation(
+        'streams: one that comes after its deadline is rejected at once',
+        [
+            (
+                'placement/choice.py',
+                '            ends_at = min(ends_at, request.deadline)',
+                '            pass',
+            ),
+        ],
+        f'{UNDER_LOAD}::test_stream_that_its_caller_would_leave_first_is_rejected_at_once',
+    ),
+    Ablation(
+        'relays: other hosts of a region are tried',
+        [
+            (
+                'proxy/attempts.py',
+                '            if not outcome.is_unreachable:',
+                '            if outcome:',
+            ),
+        ],
+        f'{UNDER_LOAD}::test_streams_are_relayed_to_the_hosts_of_a_region_that_are_left',
+    ),
+    Ablation(
+        'budget: what has not left the host is no retry',
+        [
+            (
+                'proxy/forwarding.py',
+                '        if not progress.next_attempt.is_retry:',
+                '        if not progress.sends:',
+            ),
+        ],
+        f'{UNDER_LOAD}::test_refused_connection_spends_no_retry',
+    ),
 ]
