--- a/jacinthfold/catalogue/host_codec.py
+++ b/jacinthfold/catalogue/host_codec.py
@@ -57,7 +57,7 @@
 
 def host_from_document(document: HostDocument) -> HostRecord:
     """Return the host of a decoded document; raise ValueError."""
-    # A pattern in the type would cost more than the rest of a heartbeat.
+    # Cheaper than patterns in the types, which each heartbeat would pay.
     check_printable(document.name, document.region, document.data_centre)
     record = HostRecord(
         document.name,
--- a/jacinthfold/fleet/table.py
+++ b/jacinthfold/fleet/table.py
@@ -98,7 +98,7 @@
         self.status = HostStatus(HostState.STARTING)
 
     def restore(self, incarnation: int) -> bool:
-        """Take an earlier record back that nobody but the host overrules."""
+        """Take the earlier record back if the host never told of this one."""
         earlier = self.earlier_record
         if earlier is None or earlier.incarnation != incarnation:
             return False
