Reset connections whose end ends an answer until the answer is whole

Cause, the same for both: the end of the connection is the end of such a body, and a socket ends in an orderly way unless somebody asks for a reset before. Only CallerResponse.abort did. The kernel that closes the sockets of a killed process doesn't, and UnreadAnswers closed the connection first, after which the reset did nothing. Besides, a response counted as finished while up to 32 KiB of it waited in the process.

Ruled out: targets that break off; their breaks were resets before this change.

Now SO_LINGER with no seconds is set before the head is written and taken back when the process holds no byte of the answer any more. So whoever closes the socket in between resets the connection, and a whole answer in the kernel's buffer still arrives if the process ends right after. Chunks towards the caller would add an end that the target didn't mark.

The one of broken answers to HTTP/1.0 callers names the new line, since the old one is gone.

--- a/jacinthfold/proxy/caller_response.py
+++ b/jacinthfold/proxy/caller_response.py
@@ -1,9 +1,12 @@
 """Hold a caller's request as it was read, and write the response to it."""
 
+from collections.abc import Iterator
+from contextlib import contextmanager
+
 import h11
 
 from jacinthfold.proxy.unread_answers import UnreadAnswers
-from jacinthfold.request.messages import Headers
+from jacinthfold.request.messages import Headers, first_header
 from jacinthfold.transport.channel import PIECE_BYTES, Channel
 from jacinthfold.transport.errors import ConnectionLostError
 from jacinthfold.transport.memory import Reservation, process_memory
@@ -69,10 +72,7 @@
 
     def abort(self) -> None:
         """End the connection so that the response doesn't look complete."""
-        if self._ends_with_connection:
-            self._channel.reset()
-        else:
-            self._channel.abort()
+        self._channel.abort()
 
     async def send(
         self,
@@ -90,8 +90,7 @@
         if body and not self._is_head:
             content = await self._send_body(content, body)
         content += self._end()
-        await self._write(content)
-        self.is_finished = True
+        await self._write_last(content)
 
     async def start(
         self, status: int, headers: Headers, *, marks_end: bool = True
@@ -108,8 +107,7 @@
 
     async def finish(self) -> None:
         """Send the end of the body, which marks the response as complete."""
-        await self._write(self._end())
-        self.is_finished = True
+        await self._write_last(self._end())
 
     async def _send_body(self, head: bytes, body: bytes) -> bytes:
         """Send all but the last piece; return what is left."""
@@ -137,17 +135,29 @@
         event = h11.Response(status_code=status, headers=framed)
         content = self._parser.send(event) or b''
         # Callers of HTTP/1.0 know no chunks.
-        self._ends_with_connection = self._parser.their_http_version == b'1.0'
+        self._ends_with_connection = (
+            self._parser.their_http_version == b'1.0'
+            and not first_header(framed, b'content-length')
+        )
+        if self._ends_with_connection:
+            with _caller_disconnects():
+                self._channel.set_reset_on_close(is_on=True)
         return content
 
     def _end(self) -> bytes:
         return self._parser.send(h11.EndOfMessage()) or b''
 
     async def _write(self, content: bytes) -> None:
-        try:
+        with _caller_disconnects():
             await self._write_pieces(content)
-        except ConnectionLostError as error:
-            raise CallerDisconnectedError from error
+
+    async def _write_last(self, content: bytes) -> None:
+        await self._write(content)
+        if self._ends_with_connection:
+            # Nothing is left in the process that its end could take away.
+            with _caller_disconnects():
+                self._channel.set_reset_on_close(is_on=False)
+        self.is_finished = True
 
     async def _write_pieces(self, content: bytes) -> None:
         start = 0
@@ -158,3 +168,11 @@
                 await self._unread.wait(
                     self._channel, len(content), self.answer_memory
                 )
+
+
+@contextmanager
+def _caller_disconnects() -> Iterator[None]:
+    try:
+        yield
+    except ConnectionLostError as error:
+        raise CallerDisconnectedError from error
--- a/jacinthfold/transport/channel.py
+++ b/jacinthfold/transport/channel.py
@@ -25,8 +25,9 @@
 KEEP_ALIVE_INTERVAL_SECONDS = 1
 KEEP_ALIVE_PROBES = 3
 
-# On, for no seconds: a socket that is closed sends a reset.
-_NO_LINGER = struct.pack('ii', 1, 0)
+# On, for no seconds: a socket that is closed sends a reset, whoever closes it.
+_RESET = struct.pack('ii', 1, 0)
+_ORDERLY_END = struct.pack('ii', 0, 0)
 # All connections receive into it: the event loop hands the bytes over before
 # it receives again.
 _receive_buffer = bytearray(RECEIVE_BYTES)
@@ -127,13 +128,20 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def reset(self) -> None:
-        """Close by a reset, which no peer takes for an orderly end."""
+    def set_reset_on_close(self, *, is_on: bool) -> None:
+        """Choose how the connection ends; raise ConnectionLostError.
+
+        While it is on, each end is a reset, also the one that the kernel makes
+        for a process that was killed, and writers wait for all their bytes.
+        """
         if self._transport is None or self._is_closed():
-            return
+            raise ConnectionLostError('connection is closed')
         opened = self._transport.get_extra_info('socket')
-        opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
-        self._transport.abort()
+        linger = _RESET if is_on else _ORDERLY_END
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self._transport.set_write_buffer_limits(
+            0 if is_on else SEND_BUFFER_BYTES
+        )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and configure its socket."""
--- a/tests/gateway/broken_answers.py
+++ b/tests/gateway/broken_answers.py
@@ -22,7 +22,9 @@
     return '\r\n'.join(lines).encode() + b'\r\n\r\n'
 
 
-def unmarked(events=TOTAL, tail=b'', *, resets=False, version='1.1'):
+def unmarked(
+    events=TOTAL, tail=b'', *, resets=False, version='1.1', pause_seconds=0
+):
     """Return a script that streams events and ends its connection."""
 
     async def script(target, request, writer):
@@ -32,6 +34,9 @@
         for number in range(first, events + 1):
             writer.write(standin.event(number))
             await writer.drain()
+            if request.is_left:
+                return False
+            await asyncio.sleep(pause_seconds)
         writer.write(tail)
         await writer.drain()
         # Bytes on their way would be lost by the reset.
@@ -93,20 +98,40 @@
     return b''.join(standin.event(number) for number in range(first, last + 1))
 
 
+def _do_nothing():
+    """Read the answer at once."""
+
+
 class RawAnswer:
     """Read an answer byte by byte, as a caller of any HTTP version."""
 
-    def __init__(self, deployment, path, version='1.1', host='north-a'):
+    def __init__(
+        self,
+        deployment,
+        path,
+        version='1.1',
+        host='north-a',
+        before_reading=_do_nothing,
+        receive_bytes=0,
+        deadline_ms=4000,
+    ):
         lines = [f'POST {path} HTTP/{version}', 'Host: api.example']
         lines += [f'{name}: {content}' for name, content in PROMPT]
         lines += [f'Attempt-Id: {new_id()}', 'Content-Length: 6']
-        lines += ['Request-Deadline: 4000', 'Connection: close']
+        lines += [f'Request-Deadline: {deadline_ms}', 'Connection: close']
         address = deployment.hosts[host].callers
         self.content = b''
         self.is_reset = False
-        with socket.create_connection(address, timeout=10) as connection:
+        with socket.socket() as connection:
+            if receive_bytes:
+                connection.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes
+                )
+            connection.settimeout(10)
+            connection.connect(address)
             wire = '\r\n'.join(lines).encode() + b'\r\n\r\nprompt'
             connection.sendall(wire)
+            before_reading()
             try:
                 while content := connection.recv(65536):
                     self.content += content
--- a/tools/ablations/answers.py
+++ b/tools/ablations/answers.py
@@ -3,6 +3,7 @@
 from tools.ablations.model import Ablation
 
 ANSWERS = 'tests/gateway/test_answers_without_length.py::'
+ENDS = 'tests/gateway/test_ends_within_answers.py::'
 
 ANSWER_ENDS = [
     Ablation(
@@ -69,11 +70,44 @@
         [
             (
                 'proxy/caller_response.py',
-                'if self._ends_with_connection:',
-                'if False:',
+                'self._channel.set_reset_on_close(is_on=True)',
+                'pass',
             ),
         ],
         ANSWERS
         + 'test_broken_stream_looks_broken_to_callers_of_each_version[1.0]',
     ),
+    Ablation(
+        'answers: the kernel resets what a killed host leaves open',
+        [
+            (
+                'proxy/caller_response.py',
+                'self._channel.set_reset_on_close(is_on=True)',
+                'pass',
+            ),
+        ],
+        ENDS + 'test_stream_looks_broken_when_its_host_is_killed[unmarked-9]',
+    ),
+    Ablation(
+        'answers: a whole answer ends in an orderly way',
+        [
+            (
+                'proxy/caller_response.py',
+                'self._channel.set_reset_on_close(is_on=False)',
+                'pass',
+            ),
+        ],
+        ENDS + 'test_whole_answers_end_in_an_orderly_way[1.1]',
+    ),
+    Ablation(
+        'answers: a response is finished when its host holds no more of it',
+        [
+            (
+                'transport/channel.py',
+                '0 if is_on else SEND_BUFFER_BYTES',
+                'SEND_BUFFER_BYTES',
+            ),
+        ],
+        ENDS + 'test_response_is_not_finished_while_its_host_holds_the_end',
+    ),
 ]
