Break off answers without length that end while the upload is on its way

What callers saw: a target answers a long upload at once with neither length nor chunks, sends a part, ends its output in an orderly way and resets the connection later. The caller got the part as a complete answer, directly and relayed.

Cause: an orderly end counts as the end of such a body whatever comes later. While the request's body is on its way nobody has read it, and the kernel of a killed target may send an orderly end before it resets what arrives.

Ruled out: an error that a write uses up, as the event loop ends the connection with it.

Now the exchange remembers that the request was cut, and such a body is broken off: tried again where that is allowed, else a visible break.

--- a/jacinthfold/transport/exchange.py
+++ b/jacinthfold/transport/exchange.py
@@ -4,6 +4,7 @@
 
 from jacinthfold import logs
 from jacinthfold.request.messages import (
+    BodyEnd,
     Headers,
     ResponseHead,
     body_end_of,
@@ -42,6 +43,9 @@
         self._request_id = ''
         self._method = b'GET'
         self._is_body_read = False
+        # Whether the target ended the connection before it had read the body.
+        self._is_request_cut = False
+        self._body_end: BodyEnd | None = None
         self._turn = Turn(process_turns)
         self._framing = ChunkFraming()
         # What was parsed ahead: the event after a body's bytes, or its error.
@@ -105,6 +109,7 @@
         if isinstance(event, h11.Data):
             return self._join_chunks(event)
         if isinstance(event, h11.EndOfMessage):
+            self._check_end()
             self._is_body_read = True
             return None
         raise MalformedResponseError(f'{event!r} inside a body')
@@ -147,6 +152,7 @@
             # A target may answer and close before it has read the body.
             if not self._channel.has_unread_bytes:
                 raise
+            self._is_request_cut = True
             return
         self._parser.send(h11.EndOfMessage())
 
@@ -160,6 +166,21 @@
             )
             start += PIECE_BYTES
 
+    def _check_end(self) -> None:
+        """Raise ConnectionLostError if a body's end can't be told from a cut.
+
+        A target that ends the connection while the request is on its way may
+        have ended in the middle of its answer, also without a reset.
+        """
+        channel = self._channel
+        is_request_lost = (
+            self._is_request_cut
+            or channel.unsent_bytes > 0
+            or channel.lost_error is not None
+        )
+        if self._body_end is BodyEnd.CONNECTION and is_request_lost:
+            raise ConnectionLostError('ended before it had read the request')
+
     async def _read_body(self, buffer: BodyBuffer) -> bytes:
         while True:
             chunk = await self.read_chunk()
@@ -184,6 +205,7 @@
         response.body_end = body_end_of(
             self._method, event.status_code, headers
         )
+        self._body_end = response.body_end
         return response
 
     def _join_chunks(self, first: h11.Data) -> bytes:
