Take statuses above 599 for no response

What callers saw: a target that answers with a status from 600 to 999 had it passed on with its Response-Seal, directly and relayed. 000, which was reported of other systems, and 14 other odd forms get 502 here already.

Cause: the parser takes any three digits, and nothing asked whether they are a status (RFC 9110, section 15: 100 to 599).

Evidence,: 15 of the 35 cases of statuses in test_early_answers.py fail (three values read from bytes, and 600 and 999 for three kinds of route at near and far targets). Now all pass; the target's failure counts as for other malformed responses.

--- a/jacinthfold/transport/exchange.py
+++ b/jacinthfold/transport/exchange.py
@@ -29,6 +29,8 @@
 STRAY_ANSWER_LIMIT = 2
 # Interim responses that are skipped before the final one.
 INFORMATIONAL_LIMIT = 16
+# RFC 9110, section 15.
+MAX_STATUS = 599
 _MAX_LENGTH_DIGITS = 20
 
 
@@ -198,6 +200,8 @@
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             raise MalformedResponseError(f'{event!r} instead of a response')
+        if event.status_code > MAX_STATUS:
+            raise MalformedResponseError(f'status {event.status_code}')
         headers: Headers = list(event.headers.raw_items())
         facts = self._dialect.read_response(event.status_code, headers)
         response = ResponseHead(event.status_code, headers, facts)
--- a/tests/gateway/test_early_answers.py
+++ b/tests/gateway/test_early_answers.py
@@ -1,19 +1,30 @@
-"""Answers to uploads that aren't over."""
+"""Answers to uploads that aren't over, and statuses that are none."""
+
+import asyncio
 
 import pytest
 
+from jacinthfold.platform.dialect import PlatformDialect
+from jacinthfold.transport.errors import ProxyError
+from jacinthfold.transport.exchange import Exchange
 from tests.gateway import early_answers as early
 from tests.gateway import target_standin as standin
 from tests.gateway.broken_answers import PROMPT
 from tests.gateway.deployment import Deployment, route, wait_served
+from tests.gateway.test_broken_heads import CutChannel
 
 UPLOAD = b'u' * 4000000
+SMALL = b'prompt'
 ROUTES = (
     route('/chat/', 'model', 'stream', **{'max-attempts': 1}),
     route('/warm/', 'model', 'idempotent'),
     route('/desk/', 'desk', 'idempotent'),
     route('/order/', 'desk'),
 )
+ODD_STATUSES = (
+    *('000', '001', '099', '600', '666', '999', '1000', '20', '2', '+200'),
+    *('-20', '2O0', '0x2', '2.0', '', '٢٠٠'),
+)
 
 
 def _start(deployment, data_centre):
@@ -123,3 +134,48 @@
         assert answer.body == b'from d-2'
     bodies = {len(one.body) for one in near.targets['d-2'].executed}
     assert len(UPLOAD) in bodies
+
+
+def _answer_with(status_line, body=b'odd'):
+    async def script(target, request, writer):
+        target.executed.append(request)
+        lines = [status_line, f'Content-Length: {len(body)}']
+        lines += [f'{name}: {one}' for name, one in standin.echoed(request)]
+        head = '\r\n'.join(lines).encode(errors='surrogateescape')
+        writer.write(head + b'\r\n\r\n' + body)
+        await writer.drain()
+        return True
+
+    return script
+
+
+@pytest.mark.parametrize('status', [*ODD_STATUSES, '101'])
+def test_status_that_is_none_is_no_response(status):
+    """Guards against a number that callers take for a status."""
+
+    async def read():
+        wire = f'HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n'.encode()
+        exchange = Exchange(CutChannel(wire), PlatformDialect())
+        await exchange.send(b'GET', b'/x', [(b'Host', b'h')], b'', 'a')
+        return await exchange.read_head()
+
+    with pytest.raises(ProxyError):
+        asyncio.run(read())
+
+
+@pytest.mark.parametrize('status', ['000', '600', '999'])
+@pytest.mark.parametrize('path', ['/chat/1', '/desk/1', '/order/1'])
+@pytest.mark.parametrize('place', ['near', 'far'])
+def test_status_that_is_none_does_not_reach_the_caller(
+    request, place, path, status
+):
+    """Guards against a target in trouble whose answer is passed on."""
+    deployment = request.getfixturevalue(place)
+    _wait_sound(deployment)
+    for target in deployment.targets.values():
+        target.script = _answer_with(f'HTTP/1.1 {status} X')
+        target.executed.clear()
+    answer = deployment.ask('north-a', path, 'POST', PROMPT, body=SMALL)
+    assert any(target.executed for target in deployment.targets.values())
+    assert answer.status == 502
+    assert 'response-seal' not in answer.headers
