Log and measure how old the records are by which a path is refused

A refusal as only an older configuration allows couldn't be told apart by its cause: request_unrouted had the version alone. It has the revision now, how old the records may be (knowledge_age_seconds) and for how long this host has known that others are ahead (behind_seconds, also a gauge); routes_in_force tells from whom the version came and how late at the most.

Hypothesis 1 of the postmortem predicts a large age or lag, 2 neither of them with an old version, 3 an earlier routes_in_force of the newer version.

--- a/jacinthfold/catalogue/listeners.py
+++ b/jacinthfold/catalogue/listeners.py
@@ -6,6 +6,7 @@
 from jacinthfold import logs
 from jacinthfold.catalogue import version_record
 from jacinthfold.catalogue.model import HostRecord, RouteTable, TargetRecord
+from jacinthfold.catalogue.origin import ChangeOrigin
 from jacinthfold.catalogue.record import Record, RecordKind, RecordReader
 from jacinthfold.catalogue.revision import log_fields
 
@@ -59,6 +60,8 @@
         self._reader = reader
         self._read_host = read_host
         self.listeners: list[CatalogueListener] = []
+        # Where the change came from that listeners are notified of.
+        self.origin = ChangeOrigin()
         self.routes: RouteTable | None = None
         self.evacuated: frozenset[str] = frozenset()
         # By name of the record of their software versions.
@@ -110,6 +113,8 @@
             version=table.version,
             **log_fields(record.revision),
             routes=len(table.routes),
+            learned_from=self.origin.source,
+            age_seconds=self.origin.age_seconds,
         )
         for listener in self.listeners:
             listener.on_routes(table)
--- a/jacinthfold/catalogue/records.py
+++ b/jacinthfold/catalogue/records.py
@@ -61,8 +61,11 @@
         self.dropped_count = 0
         self.changed_at = clock.monotonic()
         self.freshness = Freshness(clock)
-        # Where the change came from that listeners are notified of.
-        self.origin = ChangeOrigin()
+
+    @property
+    def origin(self) -> ChangeOrigin:
+        """Return where the change came from that listeners hear of."""
+        return self._notifier.origin
 
     @property
     def routes(self) -> RouteTable | None:
@@ -217,7 +220,7 @@
             and key not in restoration.overruled
             and self._reader.kind_of(key)[0] not in kinds
         ]
-        self.origin = self._restoration_origin(restoration, now)
+        self._notifier.origin = self._restoration_origin(restoration, now)
         for known in dropped:
             self._apply_one(Record(known.key, self.revision, None))
         if dropped:
@@ -231,7 +234,7 @@
     def _end_restoration(self, restoration: Restoration, now: float) -> None:
         self._drop_unconfirmed(restoration, now)
         self._restoration = None
-        self.origin = self._restoration_origin(restoration, now)
+        self._notifier.origin = self._restoration_origin(restoration, now)
         for record in restoration.overruled.values():
             self._apply_one(record)
         logs.event(
@@ -254,7 +257,7 @@
         self, records: Iterable[Record], revision: int, source: str
     ) -> None:
         for record in sorted(records, key=_by_revision):
-            self.origin = ChangeOrigin(
+            self._notifier.origin = ChangeOrigin(
                 record.revision,
                 source,
                 self.freshness.age_before(record.revision),
--- a/jacinthfold/fleet/snapshots.py
+++ b/jacinthfold/fleet/snapshots.py
@@ -20,6 +20,7 @@
     make_revision,
 )
 from jacinthfold.clock import Clock
+from jacinthfold.fleet.revision_lag import RevisionLag
 from jacinthfold.fleet.table import HostTable
 from jacinthfold.transport.errors import ProxyError
 from jacinthfold.transport.http_call import PooledHttpClient
@@ -57,6 +58,7 @@
         self._catalogue = catalogue
         self._http_client = http_client
         self._clock = clock
+        self.lag = RevisionLag(clock)
         self.seeds: tuple[Endpoint, ...] = ()
         # Whether this host watches the store itself.
         self.watches: Callable[[], bool] = lambda: True
@@ -66,6 +68,9 @@
         behind_since: float | None = None
         while True:
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
+            self.lag.observe(
+                self._catalogue.revision, self._hosts.newest_revision()
+            )
             ahead = self._endpoints_ahead()
             if not ahead:
                 behind_since = None
--- a/jacinthfold/fleet/table.py
+++ b/jacinthfold/fleet/table.py
@@ -309,6 +309,17 @@
             if self._is_live(entry) and entry.status.revision > revision
         ]
 
+    def newest_revision(self) -> int:
+        """Return the newest revision that live hosts tell of, 0 if none do."""
+        return max(
+            (
+                entry.status.revision
+                for entry in self._entries.values()
+                if self._is_live(entry)
+            ),
+            default=0,
+        )
+
     def _upsert(self, record: HostRecord) -> HostEntry:
         entry = self._entries.get(record.name)
         if entry is None:
--- a/jacinthfold/gateway/fleet_metrics.py
+++ b/jacinthfold/gateway/fleet_metrics.py
@@ -3,6 +3,7 @@
 from prometheus_client import CollectorRegistry, Gauge
 
 from jacinthfold.fleet.heartbeats import Heartbeats
+from jacinthfold.fleet.revision_lag import RevisionLag
 from jacinthfold.fleet.table import HostTable
 
 
@@ -25,3 +26,12 @@
         'Other hosts that this one hears, directly or by reports',
         registry=registry,
     ).set_function(hosts.live_count)
+
+
+def register_lag(registry: CollectorRegistry, lag: RevisionLag) -> None:
+    """Register the gauge of how long this host has been behind others."""
+    Gauge(
+        'jacinthfold_gateway_behind_seconds',
+        'For how long a revision that other hosts told of has been missing',
+        registry=registry,
+    ).set_function(lambda: lag.seconds)
--- a/jacinthfold/gateway/node.py
+++ b/jacinthfold/gateway/node.py
@@ -82,6 +82,9 @@
         fleet_metrics.register(
             self.metrics.registry, self._view.heartbeats, self._view.hosts
         )
+        fleet_metrics.register_lag(
+            self.metrics.registry, self._view.snapshots.lag
+        )
         self._view.targets.on_failure_event = lambda service, event: (
             self.metrics.target_failure_events.labels(service, event).inc()
         )
@@ -123,6 +126,7 @@
             self._drain,
             self._clock,
         )
+        caller_handler.behind_seconds = lambda: view.snapshots.lag.seconds
         relay_handler = request_handlers.RelayHandler(
             view.organisations.key_gate,
             forwarder,
--- a/jacinthfold/gateway/request_handlers.py
+++ b/jacinthfold/gateway/request_handlers.py
@@ -1,5 +1,6 @@
 """Handle requests from callers and relays from other regions."""
 
+from collections.abc import Callable
 from http import HTTPStatus
 
 from jacinthfold import logs
@@ -42,6 +43,8 @@
         self._forwarder = forwarder
         self._dialect = dialect
         self._clock = clock
+        # For how long this host has known that others are ahead.
+        self.behind_seconds: Callable[[], float] = float
 
     async def handle(
         self, request: RawRequest, response: CallerResponse
@@ -132,6 +135,9 @@
             path=parsed.path,
             status=int(status),
             version=version,
+            **self._catalogue.revision_fields(),
+            knowledge_age_seconds=self._catalogue.freshness.age_seconds,
+            behind_seconds=self.behind_seconds(),
         )
 
 
