Deny unknown paths and keys by records that are proven to be recent

What callers may see (CONFIG): a route or a key was added and acknowledged, and a host that learns of it late answers 404 or 401 long after it has to be in force. Callers don't ask again after these.

Cause, by the code: a path that no route has got 404 by whatever configuration the host had, and a key that nobody holds got 401 likewise where revocation has no bound. Nothing asked how old the records might be. With a bound, 401 asked for records of the last 2 s already.

Now a host denies by records that are proven to be at most 2 s old. Without such a proof the request waits for one for half a second at the most, for which the store is asked once for all that wait, and gets 503 with a time to come back otherwise; requests after a missing proof don't wait for a second. Whatever makes a configuration late, the host then says that it doesn't know.

--- a/jacinthfold/catalogue/follower.py
+++ b/jacinthfold/catalogue/follower.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from jacinthfold import logs
+from jacinthfold.catalogue.denials import Denials
 from jacinthfold.catalogue.freshness_prover import FreshnessProver
 from jacinthfold.catalogue.host_codec import encode_host
 from jacinthfold.catalogue.metadata import (
@@ -49,6 +50,7 @@
         self._catalogue = catalogue
         self._clock = clock
         self.prover = FreshnessProver(store, catalogue.freshness, clock)
+        self.denials = Denials(catalogue.freshness, self.prover, clock)
         self._is_listed = False
         self.reached_at = -1.0
         self.is_reached = False
--- a/jacinthfold/catalogue/freshness_prover.py
+++ b/jacinthfold/catalogue/freshness_prover.py
@@ -30,12 +30,14 @@
         self._next_call_at = float('-inf')
         self._called_at = float('-inf')
 
-    async def prove(self, as_of: float) -> bool:
+    async def prove(
+        self, as_of: float, wait_seconds: float = MAX_WAIT_SECONDS
+    ) -> bool:
         """Return whether the records are as new as a boot time in seconds.
 
-        A proof of a neighbour counts too. After two seconds it is missing.
+        A proof of a neighbour counts too.
         """
-        until = self._clock.boottime() + MAX_WAIT_SECONDS
+        until = self._clock.boottime() + wait_seconds
         while self._freshness.proof.as_of < as_of:
             now = self._clock.boottime()
             if now >= until:
--- a/jacinthfold/gateway/node.py
+++ b/jacinthfold/gateway/node.py
@@ -121,6 +121,7 @@
         caller_handler = request_handlers.CallerHandler(
             view.catalogue,
             view.organisations.key_gate,
+            view.follower.denials,
             forwarder,
             dialect,
             self._drain,
--- a/jacinthfold/gateway/request_handlers.py
+++ b/jacinthfold/gateway/request_handlers.py
@@ -4,6 +4,8 @@
 from http import HTTPStatus
 
 from jacinthfold import logs
+from jacinthfold.catalogue.denials import Denials
+from jacinthfold.catalogue.model import Route
 from jacinthfold.catalogue.records import Catalogue
 from jacinthfold.clock import Clock
 from jacinthfold.gateway.drain import Drain
@@ -31,12 +33,14 @@
         self,
         catalogue: Catalogue,
         key_gate: KeyGate,
+        denials: Denials,
         forwarder: Forwarder,
         dialect: Dialect,
         drain: Drain,
         clock: Clock,
     ) -> None:
-        """Set the catalogue, the key gate and the forwarder."""
+        """Set the catalogue, what identifies callers, and the forwarder."""
+        self._denials = denials
         self._key_gate = key_gate
         self._drain = drain
         self._catalogue = catalogue
@@ -63,26 +67,14 @@
         )
         parsed.memory = request.memory
         parsed.received_at = now
-        id_headers = self._dialect.gateway_headers(facts.request_id)
-        table = self._catalogue.routes
-        if table is None:
-            self._log_unrouted(parsed, HTTPStatus.SERVICE_UNAVAILABLE, 0)
-            retry_after = self._dialect.retry_headers(NOT_READY_RETRY_SECONDS)
-            await response.send(
-                HTTPStatus.SERVICE_UNAVAILABLE, [*id_headers, *retry_after], b''
-            )
-            return
-        route = table.find(facts.host_name, parsed.path)
+        route = await self._find_route(parsed, response)
         if route is None:
-            self._log_unrouted(parsed, HTTPStatus.NOT_FOUND, table.version)
-            await response.send(HTTPStatus.NOT_FOUND, id_headers, b'')
             return
         parsed.route = route
-        if len(table.organisations):
-            status = self._identify(parsed)
-            if status is not HTTPStatus.OK:
-                await self._reject_unidentified(parsed, status, response)
-                return
+        status = await self._identify(parsed)
+        if status is not HTTPStatus.OK:
+            await self._reject_unidentified(parsed, status, response)
+            return
         parsed.service_name = route.service_for(facts.request_id)
         allowed_seconds = route.timeout_seconds
         if facts.caller_timeout_seconds is not None:
@@ -93,8 +85,41 @@
             return
         await self._forwarder.serve(parsed, response)
 
-    def _identify(self, parsed: Request) -> HTTPStatus:
+    async def _find_route(
+        self, parsed: Request, response: CallerResponse
+    ) -> Route | None:
+        """Return the request's route; reject the request if there is none."""
+        route, version = self._look_up(parsed)
+        may_deny = version > 0
+        if route is None and may_deny:
+            may_deny = await self._denials.may_deny()
+            route, version = self._look_up(parsed)
+        if route is not None:
+            return route
+        status = HTTPStatus.NOT_FOUND
+        headers = self._dialect.gateway_headers(parsed.facts.request_id)
+        if not may_deny:
+            status = HTTPStatus.SERVICE_UNAVAILABLE
+            headers += self._dialect.retry_headers(
+                STALE_RETRY_AFTER_SECONDS
+                if version
+                else NOT_READY_RETRY_SECONDS
+            )
+        self._log_unrouted(parsed, status, version)
+        await response.send(status, headers, b'')
+        return None
+
+    def _look_up(self, parsed: Request) -> tuple[Route | None, int]:
+        """Return the route and the version of the routes, 0 before any."""
+        table = self._catalogue.routes
+        if table is None:
+            return None, 0
+        return table.find(parsed.facts.host_name, parsed.path), table.version
+
+    async def _identify(self, parsed: Request) -> HTTPStatus:
         """Identify the organisation; return 200 or the rejection status."""
+        if not self._key_gate.has_keys:
+            return HTTPStatus.OK
         parsed.headers = self._dialect.without_credentials(parsed.headers)
         parsed.facts.caller = ''
         if parsed.route.is_public:
@@ -103,9 +128,11 @@
             return HTTPStatus.SERVICE_UNAVAILABLE
         organisation = self._key_gate.holder(parsed.facts.key_digest)
         if organisation is None:
-            if self._key_gate.may_deny:
-                return HTTPStatus.UNAUTHORIZED
-            return HTTPStatus.SERVICE_UNAVAILABLE
+            if not await self._denials.may_deny():
+                return HTTPStatus.SERVICE_UNAVAILABLE
+            organisation = self._key_gate.holder(parsed.facts.key_digest)
+        if organisation is None:
+            return HTTPStatus.UNAUTHORIZED
         parsed.organisation = organisation
         # The quarantine distinguishes callers by this name.
         parsed.facts.caller = organisation.name
--- a/jacinthfold/proxy/key_gate.py
+++ b/jacinthfold/proxy/key_gate.py
@@ -9,9 +9,6 @@
 # Reserved from the bound for the time between the check of the age and a
 # request's last byte at a target, on a host that is short of processor time.
 AGE_MARGIN_SECONDS = 0.4
-# An unknown key may be new. Callers don't retry after a 401, so only hosts
-# whose keys are no older than this deny one.
-MAX_DENY_AGE_SECONDS = 2.0
 
 
 class KeyRejection(Enum):
@@ -52,11 +49,10 @@
         return self.age_seconds <= self._bound_seconds - AGE_MARGIN_SECONDS
 
     @property
-    def may_deny(self) -> bool:
-        """Check whether the known keys are recent enough to deny a key."""
-        if self._bound_seconds is None:
-            return True
-        return self.age_seconds <= MAX_DENY_AGE_SECONDS
+    def has_keys(self) -> bool:
+        """Check whether callers need keys."""
+        table = self._catalogue.routes
+        return table is not None and len(table.organisations) > 0
 
     def holder(self, key_digest: bytes | None) -> Organisation | None:
         """Return the organisation that holds a key now."""
--- a/tests/gateway/store_standin.py
+++ b/tests/gateway/store_standin.py
@@ -9,6 +9,8 @@
 
 from tests.gateway.http_server import HttpServer, Reply
 
+HANG_CHECK_SECONDS = 0.05
+
 
 class StoreStandIn(HttpServer):
     """Keep items, leases and a history; misbehave on demand."""
@@ -24,6 +26,8 @@
         # The same, for faults that must not end each other.
         self.is_away = False
         self.loses_answers = False
+        # Watches get no answer, other calls do.
+        self.hangs_watches = False
         self.waiting_watches = 0
         # None: the header is not sent.
         self.era = None
@@ -144,6 +148,8 @@
             pass
         finally:
             self.waiting_watches -= 1
+        while self.hangs_watches:
+            await asyncio.sleep(HANG_CHECK_SECONDS)
         if after < self.compacted_below or self._restore_count > restored:
             return Reply(410)
         events = [one for one in self.history if one['revision'] > after]
--- a/tests/gateway/test_freshness.py
+++ b/tests/gateway/test_freshness.py
@@ -210,12 +210,6 @@
     assert gate.rejection(request) is KeyRejection.REVOKED
 
 
-def test_unknown_key_is_not_denied_by_stale_records():
-    """A key may just have been added, and callers don't retry a denial."""
-    assert gate_with_age(0)[0].may_deny
-    assert not gate_with_age(3)[0].may_deny
-
-
 def start_hosts_with_keys(deployment, *names):
     deployment.put_routes(
         route('/order/'),
--- a/tools/ablations/answers.py
+++ b/tools/ablations/answers.py
@@ -3,6 +3,11 @@
 from tools.ablations.model import Ablation
 
 ANSWERS = 'tests/gateway/test_answers_without_length.py::'
+EARLY = 'tests/gateway/test_early_answers.py::'
+DENIALS = (
+    'tests/gateway/test_denials.py::'
+    'test_what_was_added_is_not_denied_once_it_has_to_be_in_force'
+)
 ENDS = 'tests/gateway/test_ends_within_answers.py::'
 
 ANSWER_ENDS = [
@@ -110,4 +115,43 @@
         ],
         ENDS + 'test_response_is_not_finished_while_its_host_holds_the_end',
     ),
+    Ablation(
+        'answers: a part that ends while the upload is on its way is broken',
+        [
+            (
+                'transport/exchange.py',
+                'if self._body_end is BodyEnd.CONNECTION and is_request_lost:',
+                'if False:',
+            ),
+        ],
+        EARLY + 'test_part_that_ends_an_upload_is_no_answer'
+        '[/order/1-shutdown-connection]',
+    ),
+    Ablation(
+        'answers: a status above 599 is no response',
+        [('transport/exchange.py', 'MAX_STATUS = 599', 'MAX_STATUS = 999')],
+        EARLY + 'test_status_that_is_none_is_no_response[600]',
+    ),
+    Ablation(
+        'answers: an unknown path is denied by recent records alone',
+        [
+            (
+                'gateway/request_handlers.py',
+                'may_deny = await self._denials.may_deny()',
+                'pass',
+            ),
+        ],
+        DENIALS + '[/new/x-404-0]',
+    ),
+    Ablation(
+        'answers: an unknown key is denied by recent records alone',
+        [
+            (
+                'gateway/request_handlers.py',
+                'if not await self._denials.may_deny():',
+                'if False:',
+            ),
+        ],
+        DENIALS + '[/desk/x-401-0]',
+    ),
 ]
