serve: reset answers to HTTP/1.0 callers until they are whole

What callers saw: a caller of HTTP/1.0 gets no chunks from a host of serve, so that the connection's end is all that ends a stream or an answer without length. When the host was killed, the kernel ended the connection in an orderly way: a related path of the gateway's fault.

Both programs share transport/ending.py.

--- a/jacinthfold/serve/answers.py
+++ b/jacinthfold/serve/answers.py
@@ -11,6 +11,7 @@
 
 from jacinthfold.serve.pump import Outlet
 from jacinthfold.serve.server import CONNECTION_KEY, Connection, Environ
+from jacinthfold.transport.ending import set_reset_on_close
 
 INTERNAL_PREFIX = 'x-jacinthfold-'
 HOP_HEADERS = frozenset(
@@ -215,6 +216,8 @@
         self._start_response = start_response
         self._request_id = request_id
         self._outlet: SocketOutlet | None = None
+        # Whether only the end of the connection tells that the body is over.
+        self._ends_with_connection = False
 
     @property
     def has_started(self) -> bool:
@@ -236,6 +239,9 @@
         passed.append(('X-Request-Id', self._request_id))
         phrase = HTTPStatus(status).phrase if status in _STATUSES else 'Status'
         write = self._start_response(f'{status} {phrase}', passed)
+        self._ends_with_connection = length is None and not self._is_chunking
+        if self._ends_with_connection:
+            set_reset_on_close(self._connection.socket, is_on=True)
         self._outlet = SocketOutlet(
             self._connection,
             is_chunking=self._is_chunking and length is None,
@@ -253,6 +259,12 @@
         if self._outlet is not None:
             self._outlet.send(payload)
 
+    def finish(self) -> None:
+        """Let the connection's end say that the answer is whole."""
+        is_sent = self._outlet is not None and not self._outlet.held_bytes
+        if self._ends_with_connection and is_sent:
+            set_reset_on_close(self._connection.socket, is_on=False)
+
 
 _STATUSES = frozenset(int(status) for status in HTTPStatus)
 
--- a/jacinthfold/serve/front.py
+++ b/jacinthfold/serve/front.py
@@ -82,6 +82,7 @@
                 raise
             response = _internal_error().response(request_id)
         if response is None:
+            sink.finish()
             return []
         return response(environ, start_response)
 
--- a/jacinthfold/transport/channel.py
+++ b/jacinthfold/transport/channel.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import socket
-import struct
 from collections.abc import Callable
 
+from jacinthfold.transport import ending
 from jacinthfold.transport.errors import ConnectFailedError, ConnectionLostError
 from jacinthfold.transport.sent_requests import SentRequests
 
@@ -25,9 +25,6 @@
 KEEP_ALIVE_INTERVAL_SECONDS = 1
 KEEP_ALIVE_PROBES = 3
 
-# On, for no seconds: a socket that is closed sends a reset, whoever closes it.
-_RESET = struct.pack('ii', 1, 0)
-_ORDERLY_END = struct.pack('ii', 0, 0)
 # All connections receive into it: the event loop hands the bytes over before
 # it receives again.
 _receive_buffer = bytearray(RECEIVE_BYTES)
@@ -137,8 +134,7 @@
         if self._transport is None or self._is_closed():
             raise ConnectionLostError('connection is closed')
         opened = self._transport.get_extra_info('socket')
-        linger = _RESET if is_on else _ORDERLY_END
-        opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        ending.set_reset_on_close(opened, is_on=is_on)
         self._transport.set_write_buffer_limits(
             0 if is_on else SEND_BUFFER_BYTES
         )
