serve: break off unmarked answers within uploads; no statuses above 599

The same two faults as in the gateway, found by looking for them there: a part that ends in an orderly way without length or chunks while the upload is on its way counted as whole, and 600 and 999 were passed on.

Resets, 000 and forms that are no number were errors already.

--- a/jacinthfold/request/numbers.py
+++ b/jacinthfold/request/numbers.py
@@ -2,6 +2,8 @@
 
 import re
 
+# RFC 9110, section 15.
+MAX_STATUS = 599
 # Characters of an unreadable value that are logged.
 LOGGED_CHARACTERS = 20
 _DECIMAL = re.compile(r'[0-9]{1,12}(\.[0-9]{1,30})?')
--- a/jacinthfold/serve/relay.py
+++ b/jacinthfold/serve/relay.py
@@ -9,6 +9,7 @@
 
 import pycurl
 
+from jacinthfold.request.numbers import MAX_STATUS
 from jacinthfold.serve.client import (
     Call,
     HeaderCollector,
@@ -126,6 +127,8 @@
         self.collector = HeaderCollector()
         self.sink_failed = False
         self.crossed = False
+        # Whether the transfer ended before the whole request was sent.
+        self.is_upload_cut = False
         self._attempt = attempt
         self._pump = pump
         self._stream_ended = False
@@ -276,6 +279,8 @@
             self._send_head(transfer, sink)
         code, message = transfer.done.result()
         if code == pycurl.E_OK:
+            sent_bytes = int(curl.getinfo(pycurl.SIZE_UPLOAD_T))
+            transfer.is_upload_cut = sent_bytes < len(attempt.call.body or b'')
             _judge_answer(transfer)
         else:
             _judge_failure(curl, code, message, transfer)
@@ -323,7 +328,11 @@
     # caller sees a byte; all others go straight on.
     if result.headers.get(NOT_RUN_HEADER):
         return True
-    return result.status in GATEWAY_STATUSES
+    return _is_no_answer(result.status)
+
+
+def _is_no_answer(status: int) -> bool:
+    return status in GATEWAY_STATUSES or status > MAX_STATUS
 
 
 def _judge_failure(
@@ -352,13 +361,14 @@
 
 def _judge_answer(transfer: _Transfer) -> None:
     result = transfer.result
+    cut_reason = _cut_reason(transfer)
     if transfer.sink_failed:
         result.ending = Ending.CALLER_GONE
     elif transfer.crossed:
         result.reason = 'the answer was to another request'
-    elif transfer.lacks_end_marker:
+    elif cut_reason:
         result.ending = Ending.CUT
-        result.reason = 'the stream ended without its end marker'
+        result.reason = cut_reason
     else:
         _judge_whole(result)
 
@@ -367,7 +377,20 @@
     if result.headers.get(NOT_RUN_HEADER):
         result.ending = Ending.NOT_RUN
         result.reason = result.headers.get(STATE_HEADER, 'refused')
-    elif result.status in GATEWAY_STATUSES:
+    elif _is_no_answer(result.status):
         result.reason = f'status {result.status}'
     else:
         result.ending = Ending.WHOLE
+
+
+def _cut_reason(transfer: _Transfer) -> str:
+    """Return why an answer that seems whole is not, or an empty string."""
+    if transfer.lacks_end_marker:
+        return 'the stream ended without its end marker'
+    marks = {'content-length', 'transfer-encoding'}
+    has_unmarked_end = not marks.intersection(transfer.result.headers)
+    has_begun = transfer.outlet is not None
+    if has_begun and has_unmarked_end and transfer.is_upload_cut:
+        # A target that is killed within an upload may end in an orderly way.
+        return 'ended before it had read the request'
+    return ''
--- a/jacinthfold/transport/exchange.py
+++ b/jacinthfold/transport/exchange.py
@@ -10,7 +10,7 @@
     body_end_of,
     first_header,
 )
-from jacinthfold.request.numbers import excerpt
+from jacinthfold.request.numbers import MAX_STATUS, excerpt
 from jacinthfold.transport.body_buffer import BodyBuffer
 from jacinthfold.transport.channel import PIECE_BYTES, Channel
 from jacinthfold.transport.chunk_framing import ChunkFraming
@@ -29,8 +29,6 @@
 STRAY_ANSWER_LIMIT = 2
 # Interim responses that are skipped before the final one.
 INFORMATIONAL_LIMIT = 16
-# RFC 9110, section 15.
-MAX_STATUS = 599
 _MAX_LENGTH_DIGITS = 20
 
 
--- a/tools/ablations/answers.py
+++ b/tools/ablations/answers.py
@@ -129,7 +129,7 @@
     ),
     Ablation(
         'answers: a status above 599 is no response',
-        [('transport/exchange.py', 'MAX_STATUS = 599', 'MAX_STATUS = 999')],
+        [('request/numbers.py', 'MAX_STATUS = 599', 'MAX_STATUS = 999')],
         EARLY + 'test_status_that_is_none_is_no_response[600]',
     ),
     Ablation(
